--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,22 @@
+# Shared by the scripts: moves to the root of the tree, installs missing packages, builds.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+BUILD_DIR=${BUILD_DIR:-build}
+JOBS=${JOBS:-$(nproc)}
+PACKAGES=(g++ cmake ninja-build ccache pkg-config curl libboost1.81-dev libthrift-dev thrift-compiler libgflags-dev
+  libeasyloggingpp-dev libgtest-dev libgmock-dev libbenchmark-dev libssl-dev libxxhash-dev librapidcheck-dev
+  clang-format clang-tidy valgrind)
+
+install_packages() {
+  if ! dpkg -s "${PACKAGES[@]}" >/dev/null 2>&1; then
+    echo "installing the packages that the build needs"
+    apt-get update -q >/dev/null
+    DEBIAN_FRONTEND=noninteractive apt-get install -y --no-install-recommends "${PACKAGES[@]}" >/dev/null
+  fi
+}
+
+build() {
+  install_packages
+  cmake -S . -B "$BUILD_DIR" -G Ninja >/dev/null
+  cmake --build "$BUILD_DIR" -j "$JOBS" -- --quiet "$@"
+}
--- /dev/null
+++ b/src/base/units.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace jujubecove {
+
+// The clock of a TimerService. It has no now() of its own, so that no code can
+// read time past its timer service.
+struct MonotonicClock {
+  using rep = std::int64_t;
+  using period = std::micro;
+  using duration = std::chrono::duration<rep, period>;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+};
+
+using Duration = MonotonicClock::duration;
+using TimePoint = MonotonicClock::time_point;
+
+// Converts for display and for headers that carry milliseconds.
+constexpr double ToMilliseconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/kernel/channel.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/lockfree/spsc_queue.hpp>
+#include <cstddef>
+#include <functional>
+#include <utility>
+
+namespace jujubecove {
+
+// A bounded ring from one producing thread to one consuming thread that runs an
+// io_context. The consumer is woken only when it is idle, so a burst of
+// messages costs one wake-up. A full ring refuses the message; it never blocks.
+template <typename T>
+class Channel {
+ public:
+  Channel(boost::asio::io_context& consumer, std::size_t capacity)
+      : consumer_(consumer), ring_(capacity) {}
+
+  Channel(const Channel&) = delete;
+  Channel& operator=(const Channel&) = delete;
+
+  // Must be set before the first TryPush.
+  void SetHandler(std::function<void(T)> handler) {
+    handler_ = std::move(handler);
+  }
+
+  // Called by the producer. On false `message` is left as it was.
+  bool TryPush(T&& message) {
+    if (!ring_.push(std::move(message)))
+      return false;
+    if (!scheduled_.exchange(true, std::memory_order_acq_rel))
+      boost::asio::post(consumer_, [this] { Drain(); });
+    return true;
+  }
+
+  // Called by the producer.
+  std::size_t FreeSlots() const { return ring_.write_available(); }
+
+ private:
+  // Bounds the work of one turn, so that the consumer's sockets and timers are
+  // served between batches.
+  static constexpr std::size_t kBatch = 256;
+
+  void Drain() {
+    T message{};
+    for (std::size_t n = 0; n < kBatch; ++n) {
+      if (!ring_.pop(message)) {
+        scheduled_.store(false, std::memory_order_release);
+        std::atomic_thread_fence(std::memory_order_seq_cst);
+        // A message pushed between the failed pop and the store did not wake
+        // anyone.
+        if (ring_.read_available() == 0 ||
+            scheduled_.exchange(true, std::memory_order_acq_rel))
+          return;
+        continue;
+      }
+      handler_(std::move(message));
+    }
+    boost::asio::post(consumer_, [this] { Drain(); });
+  }
+
+  boost::asio::io_context& consumer_;
+  boost::lockfree::spsc_queue<T> ring_;
+  std::atomic<bool> scheduled_{false};
+  std::function<void(T)> handler_;
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/kernel/timer_service.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "base/strong_id.h"
+#include "base/units.h"
+
+namespace jujubecove {
+
+// Names one scheduled callback; never reused. Zero names none.
+using TimerId = StrongId<struct TimerIdTag, std::uint64_t>;
+
+// The only source of time for the code of one thread. Callbacks run on that
+// thread.
+class TimerService {
+ public:
+  virtual ~TimerService() = default;
+
+  virtual TimePoint Now() const = 0;
+  // Runs `callback` once at `when`, or as soon as possible if that has passed.
+  virtual TimerId ScheduleAt(TimePoint when,
+                             std::function<void()> callback) = 0;
+  // Does nothing for a callback that has run or was cancelled.
+  virtual void Cancel(TimerId id) = 0;
+
+  TimerId ScheduleAfter(Duration delay, std::function<void()> callback) {
+    return ScheduleAt(Now() + delay, std::move(callback));
+  }
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/once/ticket_table.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/units.h"
+
+namespace jujubecove {
+
+// Where the owner of a ticket is reached.
+struct TicketOwner {
+  // "ip:port" of the owner's peer interface.
+  std::string peer_address;
+  IncarnationId incarnation;
+};
+
+// What became of a ticket, as kept for repeats.
+struct TicketOutcome {
+  Execution execution = Execution::kUnknown;
+  // The whole answer, handed to repeats as it is.
+  std::string answer;
+  int http_status = 0;
+};
+
+enum class TicketState : std::uint8_t {
+  // The caller of Begin runs the request and must call Finish.
+  kRun,
+  // The same request is running; the waiter is told of its outcome.
+  kJoined,
+  // It ended before; the outcome is given.
+  kFinished,
+};
+
+struct TicketBegin {
+  TicketState state = TicketState::kRun;
+  std::optional<TicketOutcome> outcome;
+};
+
+// The tickets of this incarnation: issued, running and finished. A ticket runs
+// at most once, and "not run" is as final as any other outcome.
+class TicketTable {
+ public:
+  using Waiter = std::function<void(const TicketOutcome&)>;
+
+  virtual ~TicketTable() = default;
+
+  virtual Result<std::vector<std::string>> Issue(std::size_t count) = 0;
+  // The owner that the ticket names; fails for text that is not a ticket.
+  virtual Result<TicketOwner> OwnerOf(const std::string& ticket) const = 0;
+  virtual bool Owns(const TicketOwner& owner) const = 0;
+  // `fingerprint` covers the kind, the key and the body. Fails with
+  // kTicketInvalid, kTicketMismatch, kTicketExpired or kOverloaded. `waiter` is
+  // kept only for kJoined.
+  virtual Result<TicketBegin> Begin(const std::string& ticket,
+                                    std::uint64_t fingerprint,
+                                    Waiter waiter) = 0;
+  virtual void Finish(const std::string& ticket, TicketOutcome outcome) = 0;
+  virtual std::size_t size() const = 0;
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "document/document.h"
+#include "shard/shard_map.h"
+#include "upstream/upstream_transport.h"
+
+namespace jujubecove {
+
+// One VM of the platform's list. For an upstream VM `searcher` is its address.
+struct VmRecord {
+  VmId id;
+  ZoneName zone;
+  SearcherId searcher;
+  ServiceName service;
+  bool leaving = false;
+};
+
+// The map and index version under which one query reads.
+struct SnapshotPin {
+  std::shared_ptr<const ShardMap> map;
+  IndexVersion index_version;
+};
+
+// A shard of one query for which a replica is wanted.
+struct ChoiceRequest {
+  ServiceName service;
+  ShardMapVersion map_version;
+  ShardId shard;
+  // Set for a kind that reads a snapshot.
+  std::optional<IndexVersion> index_version;
+  bool idempotent = true;
+  // Searchers that this shard of this query has tried already.
+  std::vector<SearcherId> tried;
+};
+
+enum class ChoiceStatus : std::uint8_t {
+  kChosen,
+  // Every usable replica is at its concurrency limit: wait for a reply.
+  kAllBusy,
+  // Replicas live, but none is known to hold the version.
+  kVersionUnavailable,
+  kNoReplica,
+};
+
+struct Choice {
+  ChoiceStatus status = ChoiceStatus::kNoReplica;
+  SearcherId searcher;
+};
+
+// Decides where attempts go. It owns what is known of searchers: the
+// platform's list, their reports and this daemon's own observations, and is
+// told of every send and reply.
+class Router {
+ public:
+  virtual ~Router() = default;
+
+  virtual void SetDocument(std::shared_ptr<const Document> document) = 0;
+  virtual void ApplyVmList(const std::vector<VmRecord>& records) = 0;
+  virtual void ApplyReport(const SearcherReport& report) = 0;
+  virtual void AddShardMap(const ServiceName& service,
+                           std::shared_ptr<const ShardMap> map) = 0;
+  // Number of entry daemons that share the searchers' slots.
+  virtual void SetLiveDaemons(std::size_t count) = 0;
+
+  // The newest map of the service that usable searchers hold; null when none.
+  virtual std::shared_ptr<const ShardMap> CurrentMap(
+      const ServiceName& service) const = 0;
+  // The newest common version other than those in `avoid`.
+  virtual std::optional<SnapshotPin> PickSnapshot(
+      const ServiceName& service,
+      const std::vector<SnapshotPin>& avoid) const = 0;
+
+  virtual Choice Choose(const ChoiceRequest& request) = 0;
+  virtual void OnSend(const UpstreamRequest& request,
+                      const ServiceName& service) = 0;
+  virtual void OnReply(const UpstreamReply& reply) = 0;
+
+  // A first attempt was sent; it earns a share of a repeat.
+  virtual void OnFirstAttempt(const ServiceName& service) = 0;
+  // Takes a retry or hedge from the budget; false when it is spent.
+  virtual bool TryTakeRepeat(const ServiceName& service) = 0;
+  // How long a shard may wait before a hedge; nothing when hedges are off.
+  virtual std::optional<Duration> HedgeDelay(
+      const ServiceName& service) const = 0;
+  // Typical time of one attempt, for early refusal.
+  virtual Duration TypicalLatency(const ServiceName& service) const = 0;
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/tests/unit/kernel/channel_test.cc
@@ -0,0 +1,49 @@
+#include "kernel/channel.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <thread>
+
+namespace jujubecove {
+namespace {
+
+// Guards against a lost wake-up between the consumer's last look at the ring
+// and its going idle.
+TEST(ChannelTest, DeliversEveryMessageInOrderAcrossThreads) {
+  constexpr int kMessages = 200'000;
+  boost::asio::io_context context;
+  Channel<int> channel(context, 64);
+  int next = 0;
+  bool in_order = true;
+  channel.SetHandler([&](int message) {
+    in_order = in_order && message == next;
+    ++next;
+    if (next == kMessages)
+      context.stop();
+  });
+  auto guard = boost::asio::make_work_guard(context);
+  std::thread consumer([&context] { context.run(); });
+  for (int n = 0; n < kMessages;) {
+    int message = n;
+    if (channel.TryPush(std::move(message)))
+      ++n;
+    else
+      std::this_thread::yield();
+  }
+  consumer.join();
+  EXPECT_TRUE(in_order);
+  EXPECT_EQ(next, kMessages);
+}
+
+// Guards against a full ring that blocks or drops without telling.
+TEST(ChannelTest, FullRingRefuses) {
+  boost::asio::io_context context;
+  Channel<int> channel(context, 2);
+  EXPECT_TRUE(channel.TryPush(1));
+  EXPECT_TRUE(channel.TryPush(2));
+  EXPECT_FALSE(channel.TryPush(3));
+}
+
+}  // namespace
+}  // namespace jujubecove
