--- a/tests/unit/base/error_kind_test.cc
+++ b/tests/unit/base/error_kind_test.cc
@@ -22,8 +22,9 @@
   int unknown = AnswerOf(ErrorKind::kOutcomeUnknown).http_status;
   for (int n = 0; n < kErrorKindCount; ++n) {
     const ErrorAnswer& answer = AnswerOf(static_cast<ErrorKind>(n));
-    if (answer.kind != ErrorKind::kOutcomeUnknown)
+    if (answer.kind != ErrorKind::kOutcomeUnknown) {
       EXPECT_NE(answer.http_status, unknown) << answer.name;
+    }
   }
 }
 
