--- /dev/null
+++ b/tests/standin/admin_server.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace jujubecove::standin {
+
+// A minimal HTTP endpoint for a stand-in's own controls.
+class AdminServer {
+ public:
+  // Called with method, path and body; `respond` takes a status and a body.
+  using Respond = std::function<void(unsigned, std::string)>;
+  using Handler = std::function<void(const std::string&,
+                                     const std::string&,
+                                     const std::string&,
+                                     Respond)>;
+
+  AdminServer(boost::asio::io_context& context,
+              std::uint16_t port,
+              Handler handler);
+
+ private:
+  void Accept();
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Handler handler_;
+};
+
+}  // namespace jujubecove::standin
--- a/tests/standin/searcher_model.cc
+++ b/tests/standin/searcher_model.cc
@@ -5,12 +5,24 @@
 
 namespace jujubecove::standin {
 
+void EffectLedger::Record(const std::string& idempotency_key) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ++effects_[idempotency_key];
+}
+
+std::size_t EffectLedger::size() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return effects_.size();
+}
+
 std::size_t EffectLedger::CountOf(const std::string& idempotency_key) const {
+  std::lock_guard<std::mutex> lock(mutex_);
   auto it = effects_.find(idempotency_key);
   return it == effects_.end() ? 0 : it->second;
 }
 
 std::size_t EffectLedger::duplicates() const {
+  std::lock_guard<std::mutex> lock(mutex_);
   return static_cast<std::size_t>(
       std::count_if(effects_.begin(), effects_.end(),
                     [](const auto& entry) { return entry.second > 1; }));
--- a/tests/standin/searcher_model.h
+++ b/tests/standin/searcher_model.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -21,17 +22,17 @@
 namespace jujubecove::standin {
 
 // Counts how often each non-idempotent request took effect, over all searchers.
+// Searchers on several threads may share it.
 class EffectLedger {
  public:
-  void Record(const std::string& idempotency_key) {
-    ++effects_[idempotency_key];
-  }
+  void Record(const std::string& idempotency_key);
   std::size_t CountOf(const std::string& idempotency_key) const;
   // Requests that took effect more than once.
   std::size_t duplicates() const;
-  std::size_t size() const { return effects_.size(); }
+  std::size_t size() const;
 
  private:
+  mutable std::mutex mutex_;
   std::unordered_map<std::string, std::size_t> effects_;
 };
 
