--- /dev/null
+++ b/bench/report.cc
@@ -0,0 +1,39 @@
+#include "bench/report.h"
+
+#include <iostream>
+#include <sstream>
+
+namespace jujubecove::bench {
+namespace {
+
+std::string Text(double value) {
+  std::ostringstream out;
+  out.precision(6);
+  out << value;
+  return out.str();
+}
+
+}  // namespace
+
+void Report::Print(const std::string& metric,
+                   double value,
+                   const std::string& target,
+                   bool ok) {
+  std::cout << "bench " << name_ << ' ' << metric << '=' << Text(value)
+            << " target=" << target << (ok ? " ok" : " short") << std::endl;
+  short_ = short_ || !ok;
+}
+
+void Report::AtMost(const std::string& metric, double value, double bound) {
+  Print(metric, value, "<=" + Text(bound), value <= bound);
+}
+
+void Report::AtLeast(const std::string& metric, double value, double bound) {
+  Print(metric, value, ">=" + Text(bound), value >= bound);
+}
+
+void Report::Info(const std::string& metric, double value) {
+  Print(metric, value, "none", true);
+}
+
+}  // namespace jujubecove::bench
--- /dev/null
+++ b/bench/report.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace jujubecove::bench {
+
+// Prints one line for each metric of an experiment, "bench NAME METRIC=VALUE
+// target=BOUND ok|short", and remembers whether any was short of its target.
+class Report {
+ public:
+  explicit Report(std::string name) : name_(std::move(name)) {}
+
+  void AtMost(const std::string& metric, double value, double bound);
+  void AtLeast(const std::string& metric, double value, double bound);
+  // A figure without a target, such as that of the baseline.
+  void Info(const std::string& metric, double value);
+
+  // 0 when every target was met, 1 otherwise.
+  int exit_code() const { return short_ ? 1 : 0; }
+
+ private:
+  void Print(const std::string& metric,
+             double value,
+             const std::string& target,
+             bool ok);
+
+  std::string name_;
+  bool short_ = false;
+};
+
+}  // namespace jujubecove::bench
