--- /dev/null
+++ b/src/upstream/report_codec.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "shard/shard_map.h"
+#include "upstream/upstream_transport.h"
+
+namespace jujubecove {
+
+// A report with the generation that the searcher gave it.
+struct GeneratedReport {
+  SearcherReport report;
+  std::uint64_t generation = 0;
+};
+
+// Body of GET /v1/report: {"service", "holdings": [{"map", "shards",
+// "index_versions"}], "slots", "in_flight", "draining", "healthy",
+// "generation"}.
+std::string EncodeReport(const GeneratedReport& report);
+// Every member is required, unknown members are ignored. Fails as kBadRequest.
+Result<GeneratedReport> DecodeReport(const SearcherId& searcher,
+                                     std::string_view body);
+
+// Body of GET /v1/map/{version}: {"version", "shards": [{"id", "from", "to"}]}.
+std::string EncodeShardMap(const ShardMap& map);
+// Fails as kBadRequest, also when the ranges do not span the key space.
+Result<ShardMap> DecodeShardMap(std::string_view body);
+
+}  // namespace jujubecove
