--- /dev/null
+++ b/src/settings/setting.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "settings/setting_codec.h"
+
+namespace jujubecove {
+
+// What is the same for settings of every type. Values are exchanged as text;
+// only Setting<T> knows the type.
+class SettingBase {
+ public:
+  SettingBase(std::string section,
+              std::string key,
+              std::string unit,
+              std::string doc)
+      : section_(std::move(section)),
+        key_(std::move(key)),
+        unit_(std::move(unit)),
+        doc_(std::move(doc)) {}
+  virtual ~SettingBase() = default;
+
+  // Type of the section, which is the first word of its heading.
+  const std::string& section() const { return section_; }
+  const std::string& key() const { return key_; }
+  const std::string& unit() const { return unit_; }
+  const std::string& doc() const { return doc_; }
+
+  // What is accepted, for messages and for the documentation.
+  virtual std::string Accepted() const = 0;
+  virtual bool Accepts(const std::string& text) const = 0;
+  // The one text of an accepted value; texts of equal values become equal.
+  virtual std::string Canonical(const std::string& text) const = 0;
+  // Nothing for a setting that has to be given.
+  virtual std::optional<std::string> DefaultText() const = 0;
+
+ private:
+  std::string section_;
+  std::string key_;
+  std::string unit_;
+  std::string doc_;
+};
+
+// The declaration of a setting. `accepted` bounds a number or the length of a
+// string, or lists the choices of an enumeration.
+template <typename T>
+struct SettingSpec {
+  std::string section;
+  std::string key;
+  // Absent for a setting that has to be given.
+  std::optional<T> default_value;
+  std::string unit;
+  typename SettingCodec<T>::Accepted accepted{};
+  std::string doc;
+};
+
+// A typed setting, declared once. T is bool, an integer type, double, Duration
+// (given in milliseconds), std::string, SocketAddress or an enumeration.
+template <typename T>
+class Setting : public SettingBase {
+ public:
+  // NOLINTNEXTLINE(google-explicit-constructor): allows declaration by braces.
+  Setting(SettingSpec<T> spec)
+      : SettingBase(spec.section, spec.key, spec.unit, spec.doc),
+        default_value_(std::move(spec.default_value)),
+        accepted_(std::move(spec.accepted)) {}
+
+  std::optional<T> Parse(const std::string& text) const {
+    return SettingCodec<T>::Parse(text, accepted_);
+  }
+  std::string Format(const T& value) const {
+    return SettingCodec<T>::Format(value, accepted_);
+  }
+  const std::optional<T>& default_value() const { return default_value_; }
+
+  std::string Accepted() const override {
+    std::string text = SettingCodec<T>::Describe(accepted_);
+    return unit().empty() ? text : text + " " + unit();
+  }
+  bool Accepts(const std::string& text) const override {
+    return Parse(text).has_value();
+  }
+  std::string Canonical(const std::string& text) const override {
+    return Format(*Parse(text));
+  }
+  std::optional<std::string> DefaultText() const override {
+    if (!default_value_)
+      return std::nullopt;
+    return Format(*default_value_);
+  }
+
+ private:
+  std::optional<T> default_value_;
+  typename SettingCodec<T>::Accepted accepted_;
+};
+
+}  // namespace jujubecove
