Parse, normalise and compare the operators' document

Operators need every fault of a document at once, with its line and what is accepted, and daemons need one text and hash for documents of equal meaning.

--- /dev/null
+++ b/src/document/document_text.cc
@@ -0,0 +1,252 @@
+#include "document/document_text.h"
+
+#include <openssl/sha.h>
+
+#include <utility>
+
+#include "base/hash.h"
+#include "document/document_parser.h"
+#include "settings/ini_file.h"
+
+namespace jujubecove {
+namespace {
+
+using SectionValues = std::map<std::string, std::string>;
+// By heading.
+using SectionTable = std::map<std::string, SectionValues>;
+
+template <typename T>
+void Put(SectionValues& values, const Setting<T>& setting, const T& value) {
+  values[setting.key()] = setting.Format(value);
+}
+
+SectionValues ValuesOf(const KindSpec& kind) {
+  const KindSettings& keys = DeclaredKindSettings();
+  SectionValues values;
+  Put(values, keys.service, kind.service.value());
+  Put(values, keys.urgency, kind.urgency);
+  Put(values, keys.deadline, kind.deadline);
+  Put(values, keys.least_coverage, kind.least_coverage);
+  Put(values, keys.partial, kind.partial);
+  Put(values, keys.snapshot, kind.snapshot);
+  Put(values, keys.idempotent, kind.idempotent);
+  Put(values, keys.hedge, kind.hedge);
+  Put(values, keys.addressing, kind.addressing);
+  Put(values, keys.merge, kind.merge);
+  // The keys of first_k are a fault with any other rule.
+  if (kind.merge == MergeRule::kFirstK) {
+    Put(values, keys.merge_key, kind.merge_key);
+    Put(values, keys.merge_order,
+        kind.descending ? MergeOrder::kDescending : MergeOrder::kAscending);
+    Put(values, keys.merge_limit, kind.merge_limit);
+  }
+  return values;
+}
+
+SectionValues ValuesOf(const ServiceSpec& service) {
+  const ServiceSettings& keys = DeclaredServiceSettings();
+  SectionValues values;
+  Put(values, keys.shards, service.shards);
+  Put(values, keys.replicas, service.replicas);
+  Put(values, keys.slots, service.slots);
+  Put(values, keys.connections, service.connections);
+  Put(values, keys.connect_cost, service.connect_cost);
+  Put(values, keys.expected_latency, service.expected_latency);
+  return values;
+}
+
+std::string TextOf(const SectionTable& table) {
+  std::string text;
+  for (const auto& [heading, values] : table) {
+    text += (text.empty() ? "[" : "\n[") + heading + "]\n";
+    for (const auto& [key, value] : values) {
+      text += key;
+      text += " = ";
+      text += value;
+      text += '\n';
+    }
+  }
+  return text;
+}
+
+SectionTable TableOf(const std::string& text) {
+  std::vector<SettingFault> faults;
+  IniFile ini = IniFile::Parse("", text, faults);
+  SectionTable table;
+  for (const IniSection& section : ini.sections) {
+    SectionValues& values = table[section.heading()];
+    for (const auto& [key, value] : section.values)
+      values[key] = value.text;
+  }
+  return table;
+}
+
+std::string HexOf(const unsigned char* bytes, std::size_t size) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string text;
+  for (std::size_t n = 0; n < size; ++n) {
+    text += kDigits[bytes[n] >> 4U];
+    text += kDigits[bytes[n] & 15U];
+  }
+  return text;
+}
+
+void DiffSection(const std::string& heading,
+                 const SectionValues& old_values,
+                 const SectionValues& new_values,
+                 std::vector<DocumentChange>& changes) {
+  using Type = DocumentChange::Type;
+  SectionValues keys = old_values;
+  keys.insert(new_values.begin(), new_values.end());
+  for (const auto& [key, unused] : keys) {
+    auto before = old_values.find(key);
+    auto after = new_values.find(key);
+    if (before == old_values.end())
+      changes.push_back({Type::kAdded, heading, key, "", after->second});
+    else if (after == new_values.end())
+      changes.push_back({Type::kRemoved, heading, key, before->second, ""});
+    else if (before->second != after->second)
+      changes.push_back(
+          {Type::kChanged, heading, key, before->second, after->second});
+  }
+}
+
+constexpr std::string_view kFromPrefix = "from ";
+constexpr std::string_view kToPrefix = "to ";
+
+// Takes the next line off the front of `text`.
+std::string_view TakeLine(std::string_view& text) {
+  std::size_t end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  return line;
+}
+
+// Applies one line of a delta: "+HEADING" and "-HEADING" add and remove a
+// section, "@HEADING" selects one, "=KEY VALUE" and "!KEY" set and remove a key
+// of the selected section. False when the line does not fit the table.
+bool ApplyLine(std::string_view line,
+               SectionTable& table,
+               SectionTable::iterator& selected) {
+  if (line.size() < 2)
+    return false;
+  std::string rest(line.substr(1));
+  switch (line[0]) {
+    case '+': {
+      auto [it, inserted] = table.try_emplace(rest);
+      selected = it;
+      return inserted;
+    }
+    case '-':
+      selected = table.end();
+      return table.erase(rest) == 1;
+    case '@':
+      selected = table.find(rest);
+      return selected != table.end();
+    case '!':
+      return selected != table.end() && selected->second.erase(rest) == 1;
+    case '=': {
+      std::size_t space = rest.find(' ');
+      if (selected == table.end() || space == std::string::npos)
+        return false;
+      selected->second[rest.substr(0, space)] = rest.substr(space + 1);
+      return true;
+    }
+    default:
+      return false;
+  }
+}
+
+Error DeltaError(const std::string& detail) {
+  return Error{ErrorKind::kBadRequest, "document delta: " + detail};
+}
+
+}  // namespace
+
+std::string CanonicalText(const Document& document) {
+  SectionTable table;
+  for (const auto& [name, kind] : document.kinds)
+    table["kind " + name.value()] = ValuesOf(kind);
+  for (const auto& [name, service] : document.services)
+    table["service " + name.value()] = ValuesOf(service);
+  return TextOf(table);
+}
+
+ContentHash HashOfText(std::string_view text) {
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+         digest);
+  return ContentHash{Hash64(text), HexOf(digest, sizeof(digest))};
+}
+
+std::vector<DocumentChange> DiffTexts(const std::string& old_text,
+                                      const std::string& new_text) {
+  using Type = DocumentChange::Type;
+  SectionTable before = TableOf(old_text);
+  SectionTable after = TableOf(new_text);
+  SectionTable headings = before;
+  headings.insert(after.begin(), after.end());
+  std::vector<DocumentChange> changes;
+  for (const auto& [heading, unused] : headings) {
+    auto old_section = before.find(heading);
+    auto new_section = after.find(heading);
+    if (new_section == after.end()) {
+      changes.push_back({Type::kRemoved, heading, "", "", ""});
+      continue;
+    }
+    if (old_section == before.end())
+      changes.push_back({Type::kAdded, heading, "", "", ""});
+    DiffSection(
+        heading,
+        old_section == before.end() ? SectionValues() : old_section->second,
+        new_section->second, changes);
+  }
+  return changes;
+}
+
+std::string MakeDelta(const std::string& old_text,
+                      const std::string& new_text) {
+  using Type = DocumentChange::Type;
+  std::string delta;
+  delta += std::string(kFromPrefix) + HashOfText(old_text).sha256 + "\n";
+  delta += std::string(kToPrefix) + HashOfText(new_text).sha256 + "\n";
+  std::string selected;
+  for (const DocumentChange& change : DiffTexts(old_text, new_text)) {
+    if (change.key.empty()) {
+      delta += (change.type == Type::kAdded ? "+" : "-") + change.section;
+      selected = change.section;
+    } else {
+      if (change.section != selected)
+        delta += "@" + change.section + "\n";
+      selected = change.section;
+      delta += change.type == Type::kRemoved
+                   ? "!" + change.key
+                   : "=" + change.key + " " + change.new_value;
+    }
+    delta += "\n";
+  }
+  return delta;
+}
+
+Result<std::string> ApplyDelta(const std::string& old_text,
+                               const std::string& delta) {
+  std::string_view rest = delta;
+  std::string_view from = TakeLine(rest);
+  std::string_view to = TakeLine(rest);
+  if (!from.starts_with(kFromPrefix) || !to.starts_with(kToPrefix))
+    return DeltaError("no hashes");
+  if (from.substr(kFromPrefix.size()) != HashOfText(old_text).sha256)
+    return DeltaError("made for another document");
+  SectionTable table = TableOf(old_text);
+  SectionTable::iterator selected = table.end();
+  while (!rest.empty()) {
+    if (!ApplyLine(TakeLine(rest), table, selected))
+      return DeltaError("does not fit the document");
+  }
+  std::string text = TextOf(table);
+  if (to.substr(kToPrefix.size()) != HashOfText(text).sha256)
+    return DeltaError("leads to another document than it was made from");
+  return text;
+}
+
+}  // namespace jujubecove
