--- a/src/document/document_parser.cc
+++ b/src/document/document_parser.cc
@@ -15,7 +15,7 @@
 const SettingsSchema& Schema() {
   const KindSettings& kind = DeclaredKindSettings();
   const ServiceSettings& service = DeclaredServiceSettings();
-  static const SettingsSchema schema = {
+  static const SettingsSchema kSchema = {
       {"kind",
        true,
        {&kind.service, &kind.urgency, &kind.deadline, &kind.least_coverage,
@@ -28,7 +28,7 @@
        {&service.shards, &service.replicas, &service.slots,
         &service.connections, &service.connect_cost, &service.expected_latency},
        "One service of searchers."}};
-  return schema;
+  return kSchema;
 }
 
 KindSpec ReadKind(const Settings& settings, const std::string& name) {
--- a/src/document/document_settings.cc
+++ b/src/document/document_settings.cc
@@ -147,13 +147,13 @@
 }  // namespace
 
 const KindSettings& DeclaredKindSettings() {
-  static const KindSettings settings = MakeKindSettings();
-  return settings;
+  static const KindSettings kSettings = MakeKindSettings();
+  return kSettings;
 }
 
 const ServiceSettings& DeclaredServiceSettings() {
-  static const ServiceSettings settings = MakeServiceSettings();
-  return settings;
+  static const ServiceSettings kSettings = MakeServiceSettings();
+  return kSettings;
 }
 
 }  // namespace jujubecove
