--- a/src/peer/gen-cpp/Peer.h
+++ b/src/peer/gen-cpp/Peer.h
@@ -78,7 +78,9 @@
  public:
 
   Peer_Exchange_args(const Peer_Exchange_args&);
+  Peer_Exchange_args(Peer_Exchange_args&&) noexcept;
   Peer_Exchange_args& operator=(const Peer_Exchange_args&);
+  Peer_Exchange_args& operator=(Peer_Exchange_args&&) noexcept;
   Peer_Exchange_args() noexcept {
   }
 
@@ -127,7 +129,9 @@
  public:
 
   Peer_Exchange_result(const Peer_Exchange_result&);
+  Peer_Exchange_result(Peer_Exchange_result&&) noexcept;
   Peer_Exchange_result& operator=(const Peer_Exchange_result&);
+  Peer_Exchange_result& operator=(Peer_Exchange_result&&) noexcept;
   Peer_Exchange_result() noexcept {
   }
 
@@ -183,7 +187,9 @@
  public:
 
   Peer_FetchDelta_args(const Peer_FetchDelta_args&) noexcept;
+  Peer_FetchDelta_args(Peer_FetchDelta_args&&) noexcept;
   Peer_FetchDelta_args& operator=(const Peer_FetchDelta_args&) noexcept;
+  Peer_FetchDelta_args& operator=(Peer_FetchDelta_args&&) noexcept;
   Peer_FetchDelta_args() noexcept
                        : from_version(0),
                          to_version(0) {
@@ -240,7 +246,9 @@
  public:
 
   Peer_FetchDelta_result(const Peer_FetchDelta_result&);
+  Peer_FetchDelta_result(Peer_FetchDelta_result&&) noexcept;
   Peer_FetchDelta_result& operator=(const Peer_FetchDelta_result&);
+  Peer_FetchDelta_result& operator=(Peer_FetchDelta_result&&) noexcept;
   Peer_FetchDelta_result() noexcept {
   }
 
@@ -295,7 +303,9 @@
  public:
 
   Peer_FetchDocument_args(const Peer_FetchDocument_args&) noexcept;
+  Peer_FetchDocument_args(Peer_FetchDocument_args&&) noexcept;
   Peer_FetchDocument_args& operator=(const Peer_FetchDocument_args&) noexcept;
+  Peer_FetchDocument_args& operator=(Peer_FetchDocument_args&&) noexcept;
   Peer_FetchDocument_args() noexcept
                           : version(0) {
   }
@@ -345,7 +355,9 @@
  public:
 
   Peer_FetchDocument_result(const Peer_FetchDocument_result&);
+  Peer_FetchDocument_result(Peer_FetchDocument_result&&) noexcept;
   Peer_FetchDocument_result& operator=(const Peer_FetchDocument_result&);
+  Peer_FetchDocument_result& operator=(Peer_FetchDocument_result&&) noexcept;
   Peer_FetchDocument_result() noexcept {
   }
 
@@ -400,7 +412,9 @@
  public:
 
   Peer_Execute_args(const Peer_Execute_args&);
+  Peer_Execute_args(Peer_Execute_args&&) noexcept;
   Peer_Execute_args& operator=(const Peer_Execute_args&);
+  Peer_Execute_args& operator=(Peer_Execute_args&&) noexcept;
   Peer_Execute_args() noexcept {
   }
 
@@ -449,7 +463,9 @@
  public:
 
   Peer_Execute_result(const Peer_Execute_result&);
+  Peer_Execute_result(Peer_Execute_result&&) noexcept;
   Peer_Execute_result& operator=(const Peer_Execute_result&);
+  Peer_Execute_result& operator=(Peer_Execute_result&&) noexcept;
   Peer_Execute_result() noexcept {
   }
 
--- a/src/peer/gen-cpp/jujubecove_types.cpp
+++ b/src/peer/gen-cpp/jujubecove_types.cpp
@@ -218,14 +218,33 @@
   state = other1.state;
   __isset = other1.__isset;
 }
-Member& Member::operator=(const Member& other2) {
+Member::Member(Member&& other2) noexcept {
   incarnation = other2.incarnation;
-  id = other2.id;
-  address = other2.address;
-  zone = other2.zone;
+  id = std::move(other2.id);
+  address = std::move(other2.address);
+  zone = std::move(other2.zone);
   sequence = other2.sequence;
   state = other2.state;
   __isset = other2.__isset;
+}
+Member& Member::operator=(const Member& other3) {
+  incarnation = other3.incarnation;
+  id = other3.id;
+  address = other3.address;
+  zone = other3.zone;
+  sequence = other3.sequence;
+  state = other3.state;
+  __isset = other3.__isset;
+  return *this;
+}
+Member& Member::operator=(Member&& other4) noexcept {
+  incarnation = other4.incarnation;
+  id = std::move(other4.id);
+  address = std::move(other4.address);
+  zone = std::move(other4.zone);
+  sequence = other4.sequence;
+  state = other4.state;
+  __isset = other4.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -401,23 +420,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigState::ConfigState(const ConfigState& other3) {
-  active_version = other3.active_version;
-  active_hash = other3.active_hash;
-  proposed_version = other3.proposed_version;
-  proposed_hash = other3.proposed_hash;
-  staged = other3.staged;
-  rejection = other3.rejection;
-  __isset = other3.__isset;
+ConfigState::ConfigState(const ConfigState& other5) {
+  active_version = other5.active_version;
+  active_hash = other5.active_hash;
+  proposed_version = other5.proposed_version;
+  proposed_hash = other5.proposed_hash;
+  staged = other5.staged;
+  rejection = other5.rejection;
+  __isset = other5.__isset;
+}
+ConfigState::ConfigState(ConfigState&& other6) noexcept {
+  active_version = other6.active_version;
+  active_hash = other6.active_hash;
+  proposed_version = other6.proposed_version;
+  proposed_hash = other6.proposed_hash;
+  staged = other6.staged;
+  rejection = std::move(other6.rejection);
+  __isset = other6.__isset;
+}
+ConfigState& ConfigState::operator=(const ConfigState& other7) {
+  active_version = other7.active_version;
+  active_hash = other7.active_hash;
+  proposed_version = other7.proposed_version;
+  proposed_hash = other7.proposed_hash;
+  staged = other7.staged;
+  rejection = other7.rejection;
+  __isset = other7.__isset;
+  return *this;
 }
-ConfigState& ConfigState::operator=(const ConfigState& other4) {
-  active_version = other4.active_version;
-  active_hash = other4.active_hash;
-  proposed_version = other4.proposed_version;
-  proposed_hash = other4.proposed_hash;
-  staged = other4.staged;
-  rejection = other4.rejection;
-  __isset = other4.__isset;
+ConfigState& ConfigState::operator=(ConfigState&& other8) noexcept {
+  active_version = other8.active_version;
+  active_hash = other8.active_hash;
+  proposed_version = other8.proposed_version;
+  proposed_hash = other8.proposed_hash;
+  staged = other8.staged;
+  rejection = std::move(other8.rejection);
+  __isset = other8.__isset;
   return *this;
 }
 void ConfigState::printTo(std::ostream& out) const {
@@ -504,14 +542,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size5;
-            ::apache::thrift::protocol::TType _etype8;
-            xfer += iprot->readListBegin(_etype8, _size5);
-            this->changes.resize(_size5);
-            uint32_t _i9;
-            for (_i9 = 0; _i9 < _size5; ++_i9)
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->changes.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
             {
-              xfer += this->changes[_i9].read(iprot);
+              xfer += this->changes[_i13].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -584,10 +622,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Member> ::const_iterator _iter10;
-    for (_iter10 = this->changes.begin(); _iter10 != this->changes.end(); ++_iter10)
+    std::vector<Member> ::const_iterator _iter14;
+    for (_iter14 = this->changes.begin(); _iter14 != this->changes.end(); ++_iter14)
     {
-      xfer += (*_iter10).write(oprot);
+      xfer += (*_iter14).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -630,25 +668,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeMessage::ExchangeMessage(const ExchangeMessage& other11) {
-  sender = other11.sender;
-  changes = other11.changes;
-  digest = other11.digest;
-  sync = other11.sync;
-  sync_after = other11.sync_after;
-  sync_more = other11.sync_more;
-  config = other11.config;
-  __isset = other11.__isset;
-}
-ExchangeMessage& ExchangeMessage::operator=(const ExchangeMessage& other12) {
-  sender = other12.sender;
-  changes = other12.changes;
-  digest = other12.digest;
-  sync = other12.sync;
-  sync_after = other12.sync_after;
-  sync_more = other12.sync_more;
-  config = other12.config;
-  __isset = other12.__isset;
+ExchangeMessage::ExchangeMessage(const ExchangeMessage& other15) {
+  sender = other15.sender;
+  changes = other15.changes;
+  digest = other15.digest;
+  sync = other15.sync;
+  sync_after = other15.sync_after;
+  sync_more = other15.sync_more;
+  config = other15.config;
+  __isset = other15.__isset;
+}
+ExchangeMessage::ExchangeMessage(ExchangeMessage&& other16) noexcept {
+  sender = std::move(other16.sender);
+  changes = std::move(other16.changes);
+  digest = other16.digest;
+  sync = other16.sync;
+  sync_after = other16.sync_after;
+  sync_more = other16.sync_more;
+  config = std::move(other16.config);
+  __isset = other16.__isset;
+}
+ExchangeMessage& ExchangeMessage::operator=(const ExchangeMessage& other17) {
+  sender = other17.sender;
+  changes = other17.changes;
+  digest = other17.digest;
+  sync = other17.sync;
+  sync_after = other17.sync_after;
+  sync_more = other17.sync_more;
+  config = other17.config;
+  __isset = other17.__isset;
+  return *this;
+}
+ExchangeMessage& ExchangeMessage::operator=(ExchangeMessage&& other18) noexcept {
+  sender = std::move(other18.sender);
+  changes = std::move(other18.changes);
+  digest = other18.digest;
+  sync = other18.sync;
+  sync_after = other18.sync_after;
+  sync_more = other18.sync_more;
+  config = std::move(other18.config);
+  __isset = other18.__isset;
   return *this;
 }
 void ExchangeMessage::printTo(std::ostream& out) const {
@@ -791,19 +850,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentReply::DocumentReply(const DocumentReply& other13) {
-  found = other13.found;
-  version = other13.version;
-  sha256 = other13.sha256;
-  content = other13.content;
-  __isset = other13.__isset;
+DocumentReply::DocumentReply(const DocumentReply& other19) {
+  found = other19.found;
+  version = other19.version;
+  sha256 = other19.sha256;
+  content = other19.content;
+  __isset = other19.__isset;
+}
+DocumentReply::DocumentReply(DocumentReply&& other20) noexcept {
+  found = other20.found;
+  version = other20.version;
+  sha256 = std::move(other20.sha256);
+  content = std::move(other20.content);
+  __isset = other20.__isset;
+}
+DocumentReply& DocumentReply::operator=(const DocumentReply& other21) {
+  found = other21.found;
+  version = other21.version;
+  sha256 = other21.sha256;
+  content = other21.content;
+  __isset = other21.__isset;
+  return *this;
 }
-DocumentReply& DocumentReply::operator=(const DocumentReply& other14) {
-  found = other14.found;
-  version = other14.version;
-  sha256 = other14.sha256;
-  content = other14.content;
-  __isset = other14.__isset;
+DocumentReply& DocumentReply::operator=(DocumentReply&& other22) noexcept {
+  found = other22.found;
+  version = other22.version;
+  sha256 = std::move(other22.sha256);
+  content = std::move(other22.content);
+  __isset = other22.__isset;
   return *this;
 }
 void DocumentReply::printTo(std::ostream& out) const {
@@ -876,17 +950,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _ktype16;
-            ::apache::thrift::protocol::TType _vtype17;
-            xfer += iprot->readMapBegin(_ktype16, _vtype17, _size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _ktype24;
+            ::apache::thrift::protocol::TType _vtype25;
+            xfer += iprot->readMapBegin(_ktype24, _vtype25, _size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              std::string _key20;
-              xfer += iprot->readString(_key20);
-              std::string& _val21 = this->headers[_key20];
-              xfer += iprot->readString(_val21);
+              std::string _key28;
+              xfer += iprot->readString(_key28);
+              std::string& _val29 = this->headers[_key28];
+              xfer += iprot->readString(_val29);
             }
             xfer += iprot->readMapEnd();
           }
@@ -935,11 +1009,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter22;
-    for (_iter22 = this->headers.begin(); _iter22 != this->headers.end(); ++_iter22)
+    std::map<std::string, std::string> ::const_iterator _iter30;
+    for (_iter30 = this->headers.begin(); _iter30 != this->headers.end(); ++_iter30)
     {
-      xfer += oprot->writeString(_iter22->first);
-      xfer += oprot->writeString(_iter22->second);
+      xfer += oprot->writeString(_iter30->first);
+      xfer += oprot->writeString(_iter30->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -967,19 +1041,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other23) {
-  kind = other23.kind;
-  headers = other23.headers;
-  body = other23.body;
-  deadline_ms = other23.deadline_ms;
-  __isset = other23.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other31) {
+  kind = other31.kind;
+  headers = other31.headers;
+  body = other31.body;
+  deadline_ms = other31.deadline_ms;
+  __isset = other31.__isset;
+}
+ForwardRequest::ForwardRequest(ForwardRequest&& other32) noexcept {
+  kind = std::move(other32.kind);
+  headers = std::move(other32.headers);
+  body = std::move(other32.body);
+  deadline_ms = other32.deadline_ms;
+  __isset = other32.__isset;
 }
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other24) {
-  kind = other24.kind;
-  headers = other24.headers;
-  body = other24.body;
-  deadline_ms = other24.deadline_ms;
-  __isset = other24.__isset;
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other33) {
+  kind = other33.kind;
+  headers = other33.headers;
+  body = other33.body;
+  deadline_ms = other33.deadline_ms;
+  __isset = other33.__isset;
+  return *this;
+}
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other34) noexcept {
+  kind = std::move(other34.kind);
+  headers = std::move(other34.headers);
+  body = std::move(other34.body);
+  deadline_ms = other34.deadline_ms;
+  __isset = other34.__isset;
   return *this;
 }
 void ForwardRequest::printTo(std::ostream& out) const {
@@ -1048,17 +1137,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _ktype26;
-            ::apache::thrift::protocol::TType _vtype27;
-            xfer += iprot->readMapBegin(_ktype26, _vtype27, _size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _ktype36;
+            ::apache::thrift::protocol::TType _vtype37;
+            xfer += iprot->readMapBegin(_ktype36, _vtype37, _size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              std::string _key30;
-              xfer += iprot->readString(_key30);
-              std::string& _val31 = this->headers[_key30];
-              xfer += iprot->readString(_val31);
+              std::string _key40;
+              xfer += iprot->readString(_key40);
+              std::string& _val41 = this->headers[_key40];
+              xfer += iprot->readString(_val41);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1099,11 +1188,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter32;
-    for (_iter32 = this->headers.begin(); _iter32 != this->headers.end(); ++_iter32)
+    std::map<std::string, std::string> ::const_iterator _iter42;
+    for (_iter42 = this->headers.begin(); _iter42 != this->headers.end(); ++_iter42)
     {
-      xfer += oprot->writeString(_iter32->first);
-      xfer += oprot->writeString(_iter32->second);
+      xfer += oprot->writeString(_iter42->first);
+      xfer += oprot->writeString(_iter42->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1126,17 +1215,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardReply::ForwardReply(const ForwardReply& other33) {
-  status = other33.status;
-  headers = other33.headers;
-  body = other33.body;
-  __isset = other33.__isset;
+ForwardReply::ForwardReply(const ForwardReply& other43) {
+  status = other43.status;
+  headers = other43.headers;
+  body = other43.body;
+  __isset = other43.__isset;
 }
-ForwardReply& ForwardReply::operator=(const ForwardReply& other34) {
-  status = other34.status;
-  headers = other34.headers;
-  body = other34.body;
-  __isset = other34.__isset;
+ForwardReply::ForwardReply(ForwardReply&& other44) noexcept {
+  status = other44.status;
+  headers = std::move(other44.headers);
+  body = std::move(other44.body);
+  __isset = other44.__isset;
+}
+ForwardReply& ForwardReply::operator=(const ForwardReply& other45) {
+  status = other45.status;
+  headers = other45.headers;
+  body = other45.body;
+  __isset = other45.__isset;
+  return *this;
+}
+ForwardReply& ForwardReply::operator=(ForwardReply&& other46) noexcept {
+  status = other46.status;
+  headers = std::move(other46.headers);
+  body = std::move(other46.body);
+  __isset = other46.__isset;
   return *this;
 }
 void ForwardReply::printTo(std::ostream& out) const {
--- a/src/peer/gen-cpp/jujubecove_types.h
+++ b/src/peer/gen-cpp/jujubecove_types.h
@@ -62,7 +62,9 @@
  public:
 
   Member(const Member&);
+  Member(Member&&) noexcept;
   Member& operator=(const Member&);
+  Member& operator=(Member&&) noexcept;
   Member() noexcept
          : incarnation(0),
            id(),
@@ -144,7 +146,9 @@
  public:
 
   ConfigState(const ConfigState&);
+  ConfigState(ConfigState&&) noexcept;
   ConfigState& operator=(const ConfigState&);
+  ConfigState& operator=(ConfigState&&) noexcept;
   ConfigState() noexcept
               : active_version(0),
                 active_hash(0),
@@ -223,7 +227,9 @@
  public:
 
   ExchangeMessage(const ExchangeMessage&);
+  ExchangeMessage(ExchangeMessage&&) noexcept;
   ExchangeMessage& operator=(const ExchangeMessage&);
+  ExchangeMessage& operator=(ExchangeMessage&&) noexcept;
   ExchangeMessage() noexcept
                   : digest(0),
                     sync(0),
@@ -302,7 +308,9 @@
  public:
 
   DocumentReply(const DocumentReply&);
+  DocumentReply(DocumentReply&&) noexcept;
   DocumentReply& operator=(const DocumentReply&);
+  DocumentReply& operator=(DocumentReply&&) noexcept;
   DocumentReply() noexcept
                 : found(0),
                   version(0),
@@ -366,7 +374,9 @@
  public:
 
   ForwardRequest(const ForwardRequest&);
+  ForwardRequest(ForwardRequest&&) noexcept;
   ForwardRequest& operator=(const ForwardRequest&);
+  ForwardRequest& operator=(ForwardRequest&&) noexcept;
   ForwardRequest() noexcept
                  : kind(),
                    body(),
@@ -428,7 +438,9 @@
  public:
 
   ForwardReply(const ForwardReply&);
+  ForwardReply(ForwardReply&&) noexcept;
   ForwardReply& operator=(const ForwardReply&);
+  ForwardReply& operator=(ForwardReply&&) noexcept;
   ForwardReply() noexcept
                : status(0),
                  body() {
--- a/src/peer/jujubecove.thrift
+++ b/src/peer/jujubecove.thrift
@@ -1,6 +1,6 @@
 // The protocol between entry daemons. Binary protocol in frames of a 4-byte
 // big-endian length, over TCP. Generate with:
-//   thrift -gen cpp:no_skeleton -out src/peer/gen-cpp src/peer/jujubecove.thrift
+//   thrift -gen cpp:no_skeleton,moveable_types -out src/peer/gen-cpp src/peer/jujubecove.thrift
 namespace cpp jujubecove.wire
 
 // A later value overrides an earlier one at the same sequence number.
