Add a first cut of the router and of the admission queue

Cause: the query engine needs both behind their factories. Change: AdaptiveRouter selects by least expected wait under adaptive limits, ejects outliers with a floor, and picks maps and versions. UrgencyAdmission queues by urgency and by turns of the callers. Conclusion: usable for integration; the policies are not yet measured.

--- /dev/null
+++ b/src/admission/in_flight_limit.cc
@@ -0,0 +1,41 @@
+#include "admission/in_flight_limit.h"
+
+#include <algorithm>
+
+namespace jujubecove {
+namespace {
+
+constexpr double kDecrease = 0.85;
+// The document's figures may understate a service, but hardly by more.
+constexpr double kMostTimesStart = 8;
+
+}  // namespace
+
+void InFlightLimit::Configure(double start) {
+  start = std::max(1.0, start);
+  if (start_ > 0)
+    limit_ = std::max(1.0, limit_ * start / start_);
+  else
+    limit_ = start;
+  start_ = start;
+}
+
+void InFlightLimit::OnFinished(std::size_t in_flight,
+                               bool congested,
+                               TimePoint admitted,
+                               TimePoint now) {
+  if (congested) {
+    // Queries admitted before the last decrease met the same congestion.
+    if (admitted <= decreased_at_)
+      return;
+    limit_ = std::max(1.0, limit_ * kDecrease);
+    decreased_at_ = now;
+    return;
+  }
+  // A limit that is not used says nothing of whether more would be served.
+  if (in_flight < limit())
+    return;
+  limit_ = std::min(limit_ + 1 / limit_, start_ * kMostTimesStart);
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/admission/make_admission_queue.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <memory>
+
+#include "admission/admission_queue.h"
+#include "kernel/timer_service.h"
+
+namespace jujubecove {
+
+// The admission queue of the query thread. `timers` must outlive it.
+std::unique_ptr<AdmissionQueue> MakeAdmissionQueue(TimerService& timers);
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/admission/urgency_admission.cc
@@ -0,0 +1,208 @@
+#include "admission/urgency_admission.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace jujubecove {
+namespace {
+
+// The document's slots are doubled: while one query waits for its last shard
+// its other slots are free.
+constexpr double kTimesCapacity = 2;
+// Bounds memory; in most cases the deadlines bound the queue before this.
+constexpr std::size_t kMostQueued = 1024;
+constexpr double kDurationWeight = 0.1;
+// Share of refused attempts that shows congestion.
+constexpr double kRefusedShare = 0.05;
+// A smoothed duration over this multiple of the least one shows that queries
+// wait at the searchers.
+constexpr double kCongestedDuration = 2.5;
+// Rise of the least duration for each query, so that it follows a lasting
+// change.
+constexpr double kBaseRise = 1.0001;
+
+}  // namespace
+
+UrgencyAdmission::~UrgencyAdmission() {
+  timers_.Cancel(timer_);
+}
+
+void UrgencyAdmission::SetHandlers(AdmitHandler admit, RefuseHandler refuse) {
+  admit_ = std::move(admit);
+  refuse_ = std::move(refuse);
+}
+
+void UrgencyAdmission::SetDocument(const Document& document,
+                                   std::size_t live_daemons) {
+  for (auto& [name, service] : services_)
+    service->declared = false;
+  double daemons = static_cast<double>(std::max<std::size_t>(live_daemons, 1));
+  for (const auto& [name, spec] : document.services) {
+    std::unique_ptr<Service>& service = services_[name];
+    if (!service)
+      service = std::make_unique<Service>();
+    service->declared = true;
+    service->limit.Configure(kTimesCapacity * spec.replicas * spec.slots /
+                             daemons);
+  }
+  // The handlers may call back, so nothing is iterated while they run.
+  std::vector<Service*> all;
+  for (auto& [name, service] : services_)
+    all.push_back(service.get());
+  for (Service* service : all)
+    Pump(*service);
+}
+
+void UrgencyAdmission::Offer(const AdmissionItem& item) {
+  auto it = services_.find(item.service);
+  if (it == services_.end() || !it->second->declared) {
+    refuse_(item.request, ErrorKind::kNoUpstream);
+    return;
+  }
+  Service& service = *it->second;
+  TimePoint now = timers_.Now();
+  Duration wait = PredictWait(service, item);
+  if (now + wait + item.expected_duration > item.deadline) {
+    refuse_(item.request, ErrorKind::kDeadlineUnmeetable);
+    return;
+  }
+  if (service.queue.size() == 0 && service.in_flight < service.limit.limit()) {
+    Admit(service, item.request);
+    return;
+  }
+  std::optional<QueuedQuery> displaced;
+  if (service.queue.size() >= kMostQueued) {
+    displaced = service.queue.Displace(item.urgency);
+    if (!displaced) {
+      refuse_(item.request, ErrorKind::kOverloaded);
+      return;
+    }
+    Unlink(displaced->item.request);
+  }
+  Enqueue(service, item);
+  if (displaced)
+    refuse_(displaced->item.request, ErrorKind::kOverloaded);
+}
+
+Duration UrgencyAdmission::PredictWait(const Service& service,
+                                       const AdmissionItem& item) const {
+  if (service.queue.size() == 0 && service.in_flight < service.limit.limit())
+    return Duration(0);
+  double each = service.duration > 0
+                    ? service.duration
+                    : static_cast<double>(item.expected_duration.count());
+  double ahead =
+      static_cast<double>(service.queue.CountAhead(item.urgency, item.caller));
+  return Duration(static_cast<Duration::rep>(
+      ahead * each / static_cast<double>(service.limit.limit())));
+}
+
+void UrgencyAdmission::Admit(Service& service, RequestId request) {
+  ++service.in_flight;
+  admitted_[request] = Admitted{&service, timers_.Now()};
+  admit_(request);
+}
+
+void UrgencyAdmission::Enqueue(Service& service, const AdmissionItem& item) {
+  QueuedQuery query{item, timers_.Now(), next_order_++};
+  TimePoint latest = query.LatestStart();
+  queued_[item.request] = Queued{&service, latest};
+  expiries_.emplace(latest, item.request);
+  service.queue.Push(std::move(query));
+  Arm();
+}
+
+void UrgencyAdmission::Unlink(RequestId request) {
+  auto it = queued_.find(request);
+  expiries_.erase(Expiry(it->second.latest_start, request));
+  queued_.erase(it);
+}
+
+bool UrgencyAdmission::Withdraw(RequestId request) {
+  auto it = queued_.find(request);
+  if (it == queued_.end())
+    return false;
+  it->second.service->queue.Remove(request);
+  Unlink(request);
+  return true;
+}
+
+bool UrgencyAdmission::IsCongested(Service& service,
+                                   const AdmissionFeedback& feedback) const {
+  double duration =
+      std::max(1.0, static_cast<double>(feedback.duration.count()));
+  if (service.duration == 0)
+    service.duration = duration;
+  service.duration += kDurationWeight * (duration - service.duration);
+  if (service.base_duration == 0)
+    service.base_duration = service.duration;
+  service.base_duration =
+      std::min(service.base_duration * kBaseRise, service.duration);
+  if (!feedback.met_deadline)
+    return true;
+  if (static_cast<double>(feedback.refused) >
+      kRefusedShare * static_cast<double>(feedback.attempts))
+    return true;
+  return service.duration > kCongestedDuration * service.base_duration;
+}
+
+void UrgencyAdmission::Finished(RequestId request,
+                                const AdmissionFeedback& feedback) {
+  auto it = admitted_.find(request);
+  if (it == admitted_.end())
+    return;
+  Admitted admitted = it->second;
+  admitted_.erase(it);
+  Service& service = *admitted.service;
+  bool congested = IsCongested(service, feedback);
+  service.limit.OnFinished(service.in_flight, congested, admitted.admitted_at,
+                           timers_.Now());
+  --service.in_flight;
+  Pump(service);
+}
+
+void UrgencyAdmission::Pump(Service& service) {
+  while (service.in_flight < service.limit.limit()) {
+    std::optional<QueuedQuery> query = service.queue.Pop();
+    if (!query)
+      return;
+    RequestId request = query->item.request;
+    Unlink(request);
+    if (query->LatestStart() < timers_.Now())
+      refuse_(request, ErrorKind::kDeadlineUnmeetable);
+    else
+      Admit(service, request);
+  }
+}
+
+void UrgencyAdmission::Arm() {
+  if (expiries_.empty())
+    return;
+  TimePoint due = expiries_.begin()->first;
+  if (timer_.value() != 0 && timer_due_ <= due)
+    return;
+  timers_.Cancel(timer_);
+  timer_due_ = due;
+  // Just after the latest start, at which a query may still begin.
+  timer_ = timers_.ScheduleAt(due + Duration(1), [this] {
+    timer_ = TimerId();
+    Expire();
+  });
+}
+
+void UrgencyAdmission::Expire() {
+  while (!expiries_.empty() && expiries_.begin()->first < timers_.Now()) {
+    RequestId request = expiries_.begin()->second;
+    Withdraw(request);
+    refuse_(request, ErrorKind::kDeadlineUnmeetable);
+  }
+  Arm();
+}
+
+std::size_t UrgencyAdmission::LimitOf(const ServiceName& service) const {
+  auto it = services_.find(service);
+  return it == services_.end() ? 0 : it->second->limit.limit();
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/admission/urgency_admission.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "admission/admission_queue.h"
+#include "admission/in_flight_limit.h"
+#include "admission/service_queue.h"
+#include "kernel/timer_service.h"
+
+namespace jujubecove {
+
+// Admission by urgency under an adaptive limit for each service.
+class UrgencyAdmission : public AdmissionQueue {
+ public:
+  explicit UrgencyAdmission(TimerService& timers) : timers_(timers) {}
+  ~UrgencyAdmission() override;
+
+  void SetHandlers(AdmitHandler admit, RefuseHandler refuse) override;
+  void SetDocument(const Document& document, std::size_t live_daemons) override;
+  void Offer(const AdmissionItem& item) override;
+  bool Withdraw(RequestId request) override;
+  void Finished(RequestId request, const AdmissionFeedback& feedback) override;
+  std::size_t queued() const override { return queued_.size(); }
+
+  // For metrics; 0 for an unknown service.
+  std::size_t LimitOf(const ServiceName& service) const;
+
+ private:
+  struct Service {
+    ServiceQueue queue;
+    InFlightLimit limit;
+    std::size_t in_flight = 0;
+    bool declared = false;
+    // Smoothed time that an admitted query takes, and a slowly rising minimum
+    // of it, in microseconds; zero before the first.
+    double duration = 0;
+    double base_duration = 0;
+  };
+  struct Admitted {
+    Service* service = nullptr;
+    TimePoint admitted_at;
+  };
+  struct Queued {
+    Service* service = nullptr;
+    TimePoint latest_start;
+  };
+  using Expiry = std::pair<TimePoint, RequestId>;
+
+  Duration PredictWait(const Service& service, const AdmissionItem& item) const;
+  bool IsCongested(Service& service, const AdmissionFeedback& feedback) const;
+  void Admit(Service& service, RequestId request);
+  void Enqueue(Service& service, const AdmissionItem& item);
+  void Pump(Service& service);
+  // Forgets the bookkeeping of a query that left its queue.
+  void Unlink(RequestId request);
+  void Arm();
+  void Expire();
+
+  TimerService& timers_;
+  AdmitHandler admit_;
+  RefuseHandler refuse_;
+  std::unordered_map<ServiceName, std::unique_ptr<Service>> services_;
+  std::unordered_map<RequestId, Admitted> admitted_;
+  std::unordered_map<RequestId, Queued> queued_;
+  std::set<Expiry> expiries_;
+  TimerId timer_;
+  TimePoint timer_due_{};
+  std::uint64_t next_order_ = 0;
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/routing/adaptive_router.cc
@@ -0,0 +1,315 @@
+#include "routing/adaptive_router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubecove {
+namespace {
+
+// How long a choice of map or version may miss that a searcher's last answer
+// has become too old; all other changes show at once.
+constexpr Duration kMemoLifetime{100'000};
+// A shorter delay would hedge replies that are about to arrive; a longer one
+// leaves too little of the usual deadline of 250 ms.
+constexpr Duration kShortestHedge{1'000};
+constexpr Duration kLongestHedge{100'000};
+
+}  // namespace
+
+AdaptiveRouter::AdaptiveRouter(TimerService& timers, std::uint64_t seed)
+    : timers_(timers),
+      random_(seed),
+      selector_(directory_, random_),
+      picker_(directory_, selector_),
+      judge_(directory_, selector_) {}
+
+ServiceState& AdaptiveRouter::StateOf(const ServiceName& service) {
+  ServiceIndex index = directory_.InternService(service);
+  if (index >= services_.size())
+    services_.resize(index + 1);
+  return services_[index];
+}
+
+const ServiceState* AdaptiveRouter::FindState(
+    const ServiceName& service) const {
+  std::optional<ServiceIndex> index = directory_.FindService(service);
+  return index && *index < services_.size() ? &services_[*index] : nullptr;
+}
+
+void AdaptiveRouter::SetDocument(std::shared_ptr<const Document> document) {
+  document_ = std::move(document);
+  for (ServiceState& state : services_)
+    state.declared = false;
+  for (const auto& [name, spec] : document_->services) {
+    ServiceState& state = StateOf(name);
+    state.spec = spec;
+    state.declared = true;
+  }
+  ConfigureAll();
+}
+
+void AdaptiveRouter::Configure(Searcher& searcher) {
+  const ServiceState& state = services_[searcher.service];
+  std::uint32_t slots =
+      state.declared ? state.spec.slots : searcher.reported_slots;
+  searcher.limit.Configure(slots, live_daemons_);
+}
+
+void AdaptiveRouter::ConfigureAll() {
+  for (SearcherIndex index = 0; index < directory_.capacity(); ++index)
+    Configure(directory_.at(index));
+}
+
+void AdaptiveRouter::ApplyVmList(const std::vector<VmRecord>& records) {
+  for (const VmRecord& record : records) {
+    if (!record.service.value().empty())
+      StateOf(record.service);
+  }
+  directory_.ApplyVmList(records, timers_.Now());
+  ConfigureAll();
+}
+
+void AdaptiveRouter::ApplyReport(const SearcherReport& report) {
+  if (report.service.value().empty())
+    return;
+  StateOf(report.service);
+  TimePoint now = timers_.Now();
+  SearcherIndex index = directory_.ApplyReport(report, now);
+  if (index == kNoSearcher)
+    return;
+  Searcher& searcher = directory_.at(index);
+  if (searcher.reported_slots != report.slots || !searcher.configured) {
+    searcher.reported_slots = report.slots;
+    searcher.configured = true;
+    Configure(searcher);
+  }
+  double others = static_cast<double>(report.in_flight) - searcher.in_flight;
+  searcher.stats.ObserveReportedLoad(others, now);
+  if (report.healthy)
+    judge_.OnHealthyReport(index, now);
+  else
+    judge_.OnUnhealthyReport(index, now);
+}
+
+void AdaptiveRouter::AddShardMap(const ServiceName& service,
+                                 std::shared_ptr<const ShardMap> map) {
+  if (StateOf(service).maps.Add(std::move(map)))
+    directory_.Touch();
+}
+
+void AdaptiveRouter::SetLiveDaemons(std::size_t count) {
+  live_daemons_ = std::max<std::size_t>(count, 1);
+  ConfigureAll();
+}
+
+const AdaptiveRouter::Memo& AdaptiveRouter::MemoOf(const ServiceName& service,
+                                                   ServiceIndex index) const {
+  if (index >= memos_.size())
+    memos_.resize(index + 1);
+  Memo& memo = memos_[index];
+  TimePoint now = timers_.Now();
+  if (memo.generation == directory_.generation() && now < memo.until)
+    return memo;
+  const ShardMapCatalog& maps = services_[index].maps;
+  memo.generation = directory_.generation();
+  memo.until = now + kMemoLifetime;
+  memo.map = picker_.PickMap(service, maps, now);
+  memo.pin = picker_.Pick(service, maps, {}, now);
+  return memo;
+}
+
+std::shared_ptr<const ShardMap> AdaptiveRouter::CurrentMap(
+    const ServiceName& service) const {
+  std::optional<ServiceIndex> index = directory_.FindService(service);
+  return index ? MemoOf(service, *index).map : nullptr;
+}
+
+std::optional<SnapshotPin> AdaptiveRouter::PickSnapshot(
+    const ServiceName& service,
+    const std::vector<SnapshotPin>& avoid) const {
+  std::optional<ServiceIndex> index = directory_.FindService(service);
+  if (!index)
+    return std::nullopt;
+  if (avoid.empty())
+    return MemoOf(service, *index).pin;
+  return picker_.Pick(service, services_[*index].maps, avoid, timers_.Now());
+}
+
+Choice AdaptiveRouter::Choose(const ChoiceRequest& request) {
+  const ReplicaGroup* group = directory_.groups().Find(
+      request.service, request.map_version, request.shard);
+  if (!group)
+    return ChooseWithoutGroup(request);
+  return selector_.Select(*group, request, services_[group->service],
+                          timers_.Now());
+}
+
+Choice AdaptiveRouter::ChooseWithoutGroup(const ChoiceRequest& request) const {
+  const ServiceState* state = FindState(request.service);
+  if (!state)
+    return Choice{};
+  for (const std::shared_ptr<const ShardMap>& map : state->maps.maps()) {
+    const ReplicaGroup* group = directory_.groups().Find(
+        request.service, map->version(), request.shard);
+    if (group && selector_.Survey(*group, timers_.Now()).staying > 0)
+      return Choice{ChoiceStatus::kVersionUnavailable, {}};
+  }
+  return Choice{};
+}
+
+void AdaptiveRouter::OnSend(const UpstreamRequest& request,
+                            const ServiceName& service) {
+  (void)service;
+  SearcherIndex index = directory_.Find(request.searcher);
+  if (index == kNoSearcher)
+    return;
+  Searcher& searcher = directory_.at(index);
+  auto [it, inserted] = attempts_.try_emplace(request.attempt.value());
+  if (!inserted)
+    return;
+  it->second = Attempt{index, searcher.ejection.probing(), timers_.Now(),
+                       request.map_version, request.index_version};
+  ++searcher.in_flight;
+}
+
+void AdaptiveRouter::OnReply(const UpstreamReply& reply) {
+  auto it = attempts_.find(reply.attempt.value());
+  if (it == attempts_.end())
+    return;
+  Attempt attempt = it->second;
+  attempts_.erase(it);
+  TimePoint now = timers_.Now();
+  Searcher& searcher = directory_.at(attempt.searcher);
+  if (reply.draining || reply.outcome == AttemptOutcome::kRefusedDraining)
+    directory_.OnDrainSign(attempt.searcher, now);
+  TakeLoad(reply, searcher, now);
+  TakeOutcome(reply, attempt, now);
+  --searcher.in_flight;
+}
+
+void AdaptiveRouter::TakeLoad(const UpstreamReply& reply,
+                              Searcher& searcher,
+                              TimePoint now) {
+  if (!reply.reported_in_flight)
+    return;
+  searcher.stats.ObserveReportedLoad(
+      static_cast<double>(*reply.reported_in_flight) - searcher.in_flight, now);
+}
+
+void AdaptiveRouter::TakeOutcome(const UpstreamReply& reply,
+                                 const Attempt& attempt,
+                                 TimePoint now) {
+  Searcher& searcher = directory_.at(attempt.searcher);
+  switch (reply.outcome) {
+    case AttemptOutcome::kOk:
+      OnSuccess(reply, attempt, now);
+      break;
+    case AttemptOutcome::kRefusedBusy:
+    case AttemptOutcome::kNoConnection:
+      searcher.limit.OnBusy(attempt.sent, now);
+      break;
+    case AttemptOutcome::kRefusedVersion:
+      directory_.Correct(attempt.searcher, attempt.map_version,
+                         attempt.index_version, now);
+      break;
+    case AttemptOutcome::kRefusedMap:
+      directory_.Correct(attempt.searcher, attempt.map_version, std::nullopt,
+                         now);
+      break;
+    case AttemptOutcome::kRefusedCold:
+      searcher.limit.OnCold(now);
+      break;
+    case AttemptOutcome::kTimedOut:
+    case AttemptOutcome::kCancelled:
+      OnUnanswered(reply, attempt, now);
+      break;
+    case AttemptOutcome::kConnectFailed:
+    case AttemptOutcome::kConnectionLost:
+    case AttemptOutcome::kBadReply:
+    case AttemptOutcome::kFailed:
+      OnFailure(attempt, reply.outcome == AttemptOutcome::kConnectFailed, now);
+      break;
+    case AttemptOutcome::kRefusedDraining:
+    case AttemptOutcome::kRefusedDeadline:
+    case AttemptOutcome::kSilent:
+      break;
+  }
+}
+
+void AdaptiveRouter::OnSuccess(const UpstreamReply& reply,
+                               const Attempt& attempt,
+                               TimePoint now) {
+  Searcher& searcher = directory_.at(attempt.searcher);
+  searcher.last_evidence = now;
+  if (searcher.unreachable) {
+    searcher.unreachable = false;
+    searcher.limit.Restart();
+  }
+  searcher.limit.OnSuccess(searcher.in_flight);
+  searcher.stats.ObserveSuccess(reply.latency, now);
+  services_[searcher.service].latency.Add(reply.latency, now);
+  judge_.OnLatency(attempt.searcher, static_cast<double>(reply.latency.count()),
+                   true, attempt.probe, now);
+  if (attempt.index_version && reply.map_version == attempt.map_version &&
+      reply.index_version != *attempt.index_version)
+    directory_.Correct(attempt.searcher, attempt.map_version,
+                       attempt.index_version, now);
+  directory_.Learn(attempt.searcher, reply.map_version, reply.shard,
+                   reply.index_version);
+}
+
+void AdaptiveRouter::OnUnanswered(const UpstreamReply& reply,
+                                  const Attempt& attempt,
+                                  TimePoint now) {
+  Searcher& searcher = directory_.at(attempt.searcher);
+  // The transport's latency is not filled in on every path.
+  Duration elapsed = std::max(reply.latency, now - attempt.sent);
+  searcher.stats.ObserveAtLeast(elapsed, now);
+  LatencyWindow& window = services_[searcher.service].latency;
+  if (elapsed > window.RecentMedian())
+    window.Add(elapsed, now);
+  judge_.OnLatency(attempt.searcher, static_cast<double>(elapsed.count()),
+                   false, attempt.probe, now);
+}
+
+void AdaptiveRouter::OnFailure(const Attempt& attempt,
+                               bool unreachable,
+                               TimePoint now) {
+  Searcher& searcher = directory_.at(attempt.searcher);
+  searcher.unreachable = unreachable;
+  searcher.stats.ObserveFailure(now);
+  judge_.OnFailure(attempt.searcher, attempt.probe, now);
+}
+
+void AdaptiveRouter::OnFirstAttempt(const ServiceName& service) {
+  ServiceState& state = StateOf(service);
+  state.repeats.OnFirstAttempt(state.latency.IsSlow());
+  state.probes.OnFirstAttempt(state.maps.shard_count());
+}
+
+bool AdaptiveRouter::TryTakeRepeat(const ServiceName& service) {
+  ServiceState& state = StateOf(service);
+  return state.repeats.TryTake(state.latency.IsSlow());
+}
+
+std::optional<Duration> AdaptiveRouter::HedgeDelay(
+    const ServiceName& service) const {
+  const ServiceState* state = FindState(service);
+  if (!state || !state->latency.HasEnough() || state->latency.IsSlow())
+    return std::nullopt;
+  return std::clamp(state->latency.Recent95th(), kShortestHedge, kLongestHedge);
+}
+
+Duration AdaptiveRouter::TypicalLatency(const ServiceName& service) const {
+  const ServiceState* state = FindState(service);
+  return state ? state->TypicalLatency() : ServiceSpec{}.expected_latency;
+}
+
+std::size_t AdaptiveRouter::ejected_count() const {
+  std::size_t count = 0;
+  for (SearcherIndex index = 0; index < directory_.capacity(); ++index)
+    count += directory_.at(index).ejection.ejected() ? 1 : 0;
+  return count;
+}
+
+}  // namespace jujubecove
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -53,6 +53,8 @@
 struct Choice {
   ChoiceStatus status = ChoiceStatus::kNoReplica;
   SearcherId searcher;
+  // The searcher is an outlier that is tried again, so a hedge should not wait.
+  bool probe = false;
 };
 
 // Decides where attempts go. It owns what is known of searchers: the
