Name the router's record of a searcher VM SearcherVm

Cause: src/store/vm_list.h defines another VmRecord in the same namespace. Change: the router's record is SearcherVm; the searcher stand-ins write their VM list in the form that the platform stand-in reads.

--- a/src/routing/adaptive_router.cc
+++ b/src/routing/adaptive_router.cc
@@ -60,8 +60,8 @@
     Configure(directory_.at(index));
 }
 
-void AdaptiveRouter::ApplyVmList(const std::vector<VmRecord>& records) {
-  for (const VmRecord& record : records) {
+void AdaptiveRouter::ApplyVmList(const std::vector<SearcherVm>& records) {
+  for (const SearcherVm& record : records) {
     if (!record.service.value().empty())
       StateOf(record.service);
   }
--- a/src/routing/adaptive_router.h
+++ b/src/routing/adaptive_router.h
@@ -26,7 +26,7 @@
   AdaptiveRouter(TimerService& timers, std::uint64_t seed);
 
   void SetDocument(std::shared_ptr<const Document> document) override;
-  void ApplyVmList(const std::vector<VmRecord>& records) override;
+  void ApplyVmList(const std::vector<SearcherVm>& records) override;
   void ApplyReport(const SearcherReport& report) override;
   void AddShardMap(const ServiceName& service,
                    std::shared_ptr<const ShardMap> map) override;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -15,7 +15,7 @@
 namespace jujubecove {
 
 // One VM of the platform's list. For an upstream VM `searcher` is its address.
-struct VmRecord {
+struct SearcherVm {
   VmId id;
   ZoneName zone;
   SearcherId searcher;
@@ -65,7 +65,7 @@
   virtual ~Router() = default;
 
   virtual void SetDocument(std::shared_ptr<const Document> document) = 0;
-  virtual void ApplyVmList(const std::vector<VmRecord>& records) = 0;
+  virtual void ApplyVmList(const std::vector<SearcherVm>& records) = 0;
   virtual void ApplyReport(const SearcherReport& report) = 0;
   virtual void AddShardMap(const ServiceName& service,
                            std::shared_ptr<const ShardMap> map) = 0;
--- a/src/routing/searcher_directory.cc
+++ b/src/routing/searcher_directory.cc
@@ -120,10 +120,10 @@
   return index;
 }
 
-void SearcherDirectory::ApplyVmList(const std::vector<VmRecord>& records,
+void SearcherDirectory::ApplyVmList(const std::vector<SearcherVm>& records,
                                     TimePoint now) {
   std::vector<bool> named(searchers_.size(), false);
-  for (const VmRecord& record : records) {
+  for (const SearcherVm& record : records) {
     SearcherIndex index = Intern(record.searcher, record.service);
     if (index == kNoSearcher)
       continue;
--- a/src/routing/searcher_directory.h
+++ b/src/routing/searcher_directory.h
@@ -31,7 +31,7 @@
   const Searcher& at(SearcherIndex index) const { return searchers_[index]; }
   std::size_t capacity() const { return searchers_.size(); }
 
-  void ApplyVmList(const std::vector<VmRecord>& records, TimePoint now);
+  void ApplyVmList(const std::vector<SearcherVm>& records, TimePoint now);
   // Takes over identity, holdings and the draining state. Returns the searcher,
   // or kNoSearcher for a report without an id or a service.
   SearcherIndex ApplyReport(const SearcherReport& report, TimePoint now);
--- a/tests/standin/fake_fleet.cc
+++ b/tests/standin/fake_fleet.cc
@@ -40,11 +40,11 @@
   return services_.at(service).searchers;
 }
 
-std::vector<VmRecord> FakeFleet::VmList() const {
-  std::vector<VmRecord> records;
+std::vector<SearcherVm> FakeFleet::VmList() const {
+  std::vector<SearcherVm> records;
   for (const auto& [name, service] : services_) {
     for (const SearcherId& id : service.searchers) {
-      VmRecord record;
+      SearcherVm record;
       record.id = VmId(id.value());
       record.zone = ZoneName("zone" + id.value().substr(id.value().rfind('/')));
       record.searcher = id;
--- a/tests/standin/fake_fleet.h
+++ b/tests/standin/fake_fleet.h
@@ -49,7 +49,7 @@
   EffectLedger& ledger() { return *ledger_; }
 
   // The platform's list, as it is now.
-  std::vector<VmRecord> VmList() const;
+  std::vector<SearcherVm> VmList() const;
   // Hands the list, all maps that are held and all reports to a router.
   void Feed(Router& router) const;
   // Feeds the router now and then each `period` until the fleet is destroyed.
--- a/tests/standin/searcher_fleet_server.cc
+++ b/tests/standin/searcher_fleet_server.cc
@@ -173,7 +173,8 @@
     vm["zone"] = it->zone;
     vm["service"] = it->service;
     vm["address"] = address;
-    vm["state"] = "live";
+    vm["role"] = "searcher";
+    vm["leaving"] = false;
     vms.push_back(std::move(vm));
   }
   return json::serialize(json::object{{"vms", std::move(vms)}});
--- a/tests/unit/routing/router_fixture.h
+++ b/tests/unit/routing/router_fixture.h
@@ -24,7 +24,7 @@
   FakeTimerService timers_;
   AdaptiveRouter router_{timers_, kSeed};
   std::shared_ptr<const ShardMap> map_;
-  std::vector<VmRecord> vms_;
+  std::vector<SearcherVm> vms_;
   std::uint64_t next_attempt_ = 1;
 
   static SearcherId IdOf(std::size_t shard, std::size_t replica) {
