--- /dev/null
+++ b/bench/cluster.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/process.h"
+#include "tests/standin/searcher_fleet_server.h"
+
+namespace jujubecove::bench {
+
+struct ClusterOptions {
+  // As for standin_searchers --services.
+  std::vector<std::string> services;
+  // The operators' document.
+  std::string document;
+  std::size_t daemons = 1;
+  // Random replica, no hedges, no admission.
+  bool baseline = false;
+  std::size_t fleet_threads = 4;
+  // Ports from here on are used; experiments that run one after the other may
+  // share them.
+  std::uint16_t first_port = 24'000;
+  std::uint64_t seed = 1;
+};
+
+// The stand-in of the platform, searchers in this process and entry daemons as
+// processes, on the loopback address.
+class Cluster {
+ public:
+  // Returns when every daemon says that it is ready; exits with a message when
+  // one does not become so.
+  explicit Cluster(const ClusterOptions& options);
+  ~Cluster();
+
+  std::vector<std::uint16_t> caller_ports() const;
+  ChildProcess& daemon(std::size_t n) { return *daemons_[n]; }
+  std::size_t daemon_count() const { return daemons_.size(); }
+  // Starts a daemon anew after it was killed, and waits until it is ready.
+  void RestartDaemon(std::size_t n);
+  void WaitUntilReady(std::size_t n);
+
+  // Applies a fault row of standin_searchers to the searchers that it names.
+  void ApplyFaults(const std::string& row);
+  // What GET /admin/stats of standin_searchers gives.
+  boost::json::object SearcherStats();
+  // Sum of a member over all searchers.
+  double SumOfStats(const char* member);
+  double MaxOfStats(const char* member);
+  // A metric of one daemon; 0 when it is absent. With several label sets, their
+  // sum.
+  double Metric(std::size_t n, const std::string& name);
+  double MetricOfAll(const std::string& name);
+
+ private:
+  std::uint16_t CallerPort(std::size_t n) const;
+  std::uint16_t OperationsPort(std::size_t n) const;
+  std::uint16_t PeerPort(std::size_t n) const;
+  void WriteSettings(std::size_t n);
+  void StartDaemon(std::size_t n);
+
+  ClusterOptions options_;
+  std::string directory_;
+  std::unique_ptr<standin::SearcherFleetServer> fleet_;
+  std::unique_ptr<ChildProcess> platform_;
+  std::vector<std::unique_ptr<ChildProcess>> daemons_;
+};
+
+}  // namespace jujubecove::bench
--- a/tests/standin/searcher_fleet_server.cc
+++ b/tests/standin/searcher_fleet_server.cc
@@ -63,6 +63,7 @@
 
 json::object Describe(const SearcherCounters& counters) {
   json::object result;
+  result["arrived"] = counters.arrived;
   result["executed"] = counters.executed;
   result["refused"] = counters.refused;
   result["accepted"] = counters.accepted;
@@ -96,6 +97,8 @@
   spec.shape.connect_cost = Duration(static_cast<std::int64_t>(numbers[4]));
   spec.shape.service_time = Duration(static_cast<std::int64_t>(numbers[5]));
   spec.buckets = numbers.size() > 6 ? numbers[6] : spec.shards * 4;
+  if (numbers.size() > 7)
+    spec.shape.spread = static_cast<double>(numbers[7]) / 100.0;
   return spec;
 }
 
--- a/tests/standin/searcher_fleet_server.h
+++ b/tests/standin/searcher_fleet_server.h
@@ -18,7 +18,7 @@
 namespace jujubecove::standin {
 
 // One service of the fleet: "name:shards:replicas:slots:connections:
-// connect_cost_us:service_time_us[:buckets]".
+// connect_cost_us:service_time_us[:buckets[:spread_percent]]".
 struct FleetServiceSpec {
   std::string name;
   std::size_t shards = 1;
--- a/tests/standin/searcher_server.cc
+++ b/tests/standin/searcher_server.cc
@@ -252,6 +252,7 @@
 }
 
 void SearcherServer::CountArrival() {
+  ++counters_.arrived;
   if (!drain_started_)
     return;
   ++counters_.arrived_draining;
--- a/tests/standin/searcher_server.h
+++ b/tests/standin/searcher_server.h
@@ -21,6 +21,8 @@
 
 // What a searcher saw of its callers.
 struct SearcherCounters {
+  // Execute requests that were read, whatever became of them.
+  std::uint64_t arrived = 0;
   std::uint64_t executed = 0;
   std::uint64_t refused = 0;
   std::uint64_t accepted = 0;
--- a/tests/standin/standin_searchers_main.cc
+++ b/tests/standin/standin_searchers_main.cc
@@ -15,7 +15,8 @@
               "weighbridge:10:3:2:25:6000:4000,buyers:15:3:2:25:6000:4000,"
               "receipts:4:2:4:110:1000:3000,dividends:2:2:4:110:1000:3000",
               "comma-separated services, each name:shards:replicas:slots:"
-              "connections:connect_cost_us:service_time_us[:buckets]");
+              "connections:connect_cost_us:service_time_us[:buckets"
+              "[:spread_percent]]");
 DEFINE_string(zones, "nyeri,karatina,othaya", "comma-separated zone names");
 DEFINE_int32(first_port, 21000, "port of the first searcher");
 DEFINE_int32(admin_port,
