--- a/src/upstream/wire.h
+++ b/src/upstream/wire.h
@@ -45,7 +45,7 @@
 inline constexpr std::string_view kNotRunDeadline = "deadline";
 
 // A reply beyond these bounds is rejected as kBadReply.
-inline constexpr std::size_t kMaxReplyHeaderBytes = 16U * 1024;
-inline constexpr std::uint64_t kMaxReplyBodyBytes = 4U * 1024 * 1024;
+inline constexpr std::size_t kMaxReplyHeaderBytes = 16'384;
+inline constexpr std::uint64_t kMaxReplyBodyBytes = 4'194'304;
 
 }  // namespace jujubecove::wire
--- /dev/null
+++ b/tests/unit/upstream/transport_fixture.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kernel/fake_timer_service.h"
+#include "raw_searcher.h"
+#include "upstream/http_upstream_transport.h"
+
+namespace jujubecove {
+
+// A transport and raw searchers on real sockets of one event loop, under a
+// clock that moves only when the test says so.
+class TransportFixture : public testing::Test {
+ protected:
+  TransportFixture() { Restart(UpstreamOptions()); }
+
+  void Restart(const UpstreamOptions& options) {
+    transport = std::make_unique<HttpUpstreamTransport>(
+        context, timer, IncarnationId(0xabc), 1, options);
+    transport->SetReplyHandler(
+        [this](UpstreamReply reply) { replies.push_back(std::move(reply)); });
+  }
+
+  // Runs the event loop until `done`. The time limit only keeps a broken test
+  // from hanging.
+  bool RunUntil(const std::function<bool()>& done) {
+    auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!done()) {
+      if (std::chrono::steady_clock::now() > limit)
+        return false;
+      context.restart();
+      context.run_one_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+
+  // Runs everything that has been caused so far. Loopback delivers within the
+  // sending call, so a few empty polls mean that nothing is on its way.
+  void Settle() {
+    for (int quiet = 0; quiet < 3;) {
+      context.restart();
+      quiet = context.poll() == 0 ? quiet + 1 : 0;
+    }
+  }
+
+  // Moves the clock in steps, running what each step causes.
+  void Advance(Duration total, Duration step = std::chrono::milliseconds(2)) {
+    for (Duration n{}; n < total; n += step) {
+      timer.AdvanceBy(step);
+      Settle();
+    }
+  }
+
+  RawSearcher& AddSearcher(RawSearcher::Handler handler,
+                           std::size_t share = 1) {
+    searchers.push_back(
+        std::make_unique<RawSearcher>(context, std::move(handler)));
+    RawSearcher& searcher = *searchers.back();
+    transport->SetConnectionShare(searcher.id(), share);
+    EXPECT_TRUE(RunUntil([&] { return searcher.sessions.size() == share; }));
+    Settle();
+    return searcher;
+  }
+
+  UpstreamRequest Request(const RawSearcher& searcher) {
+    UpstreamRequest request;
+    request.attempt = AttemptId(++last_attempt);
+    request.request = RequestId(5);
+    request.searcher = searcher.id();
+    request.kind = KindName("lookup");
+    request.shard = ShardId("s0");
+    request.map_version = ShardMapVersion(7);
+    request.deadline = timer.Now() + std::chrono::milliseconds(400);
+    request.body = std::make_shared<const std::string>("{}");
+    return request;
+  }
+
+  // Sends and waits for the reply without moving the clock.
+  UpstreamReply Exchange(UpstreamRequest request) {
+    std::size_t count = replies.size();
+    transport->Send(std::move(request));
+    EXPECT_EQ(replies.size(), count) << "a reply came from within Send";
+    EXPECT_TRUE(RunUntil([&] { return replies.size() > count; }));
+    return replies.empty() ? UpstreamReply() : replies.back();
+  }
+
+  boost::asio::io_context context;
+  FakeTimerService timer;
+  std::unique_ptr<HttpUpstreamTransport> transport;
+  std::vector<std::unique_ptr<RawSearcher>> searchers;
+  std::vector<UpstreamReply> replies;
+  std::uint64_t last_attempt = 0;
+};
+
+}  // namespace jujubecove
