Compare ways of choosing replicas on the fake clock

Cause: the choice policy had not been measured against simpler ones. Change: bench/policy_bench.cc runs nine policies against one simulated fleet, healthy, with one replica of three 20 times slower, and with all 5 times slower.

--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,99 @@
+// Compares ways of choosing replicas and of hedging on a fake clock. The result
+// depends on nothing but the seed.
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <iterator>
+#include <string>
+
+#include "bench/policy_simulation.h"
+
+namespace jujubecove {
+namespace {
+
+struct Policy {
+  const char* name;
+  ChoicePolicy choice;
+  HedgePolicy hedge;
+};
+
+constexpr Policy kPolicies[] = {
+    {"random", ChoicePolicy::kRandom, HedgePolicy::kNone},
+    {"round_robin", ChoicePolicy::kRoundRobin, HedgePolicy::kNone},
+    {"two_choices", ChoicePolicy::kTwoChoices, HedgePolicy::kNone},
+    {"least_outstanding", ChoicePolicy::kLeastOutstanding, HedgePolicy::kNone},
+    {"least_outstanding_fixed_hedge", ChoicePolicy::kLeastOutstanding,
+     HedgePolicy::kFixedDelay},
+    {"router_no_hedge", ChoicePolicy::kRouter, HedgePolicy::kNone},
+    {"router_fixed_hedge", ChoicePolicy::kRouter, HedgePolicy::kFixedDelay},
+    {"router_quantile_hedge", ChoicePolicy::kRouter, HedgePolicy::kQuantile},
+    {"router", ChoicePolicy::kRouter, HedgePolicy::kRouter},
+};
+
+bool passed = true;
+
+void Print(const char* metric, double value, double bound) {
+  bool ok = value <= bound;
+  passed = passed && ok;
+  std::printf("bench policy %s=%.4f target=%.4f %s\n", metric, value, bound,
+              ok ? "ok" : "short");
+}
+
+void PrintRow(const std::string& name,
+              const char* fault,
+              const SimulationResult& result) {
+  std::printf(
+      "policy %-30s %-10s queries=%zu incomplete=%zu p50_ms=%.1f p99_ms=%.1f "
+      "repeats=%.4f met_straggler=%.5f\n",
+      name.c_str(), fault, result.queries, result.incomplete,
+      ToMilliseconds(result.median), ToMilliseconds(result.p99),
+      result.repeat_share(), result.met_straggler);
+}
+
+void Compare(const SimulationOptions& base, const Policy& policy) {
+  SimulationOptions options = base;
+  options.choice = policy.choice;
+  options.hedge = policy.hedge;
+  std::string name =
+      std::string(policy.name) + "/" + std::to_string(options.shards);
+  SimulationResult healthy = Simulate(options);
+  PrintRow(name, "none", healthy);
+  options.straggler_factor = 20;
+  SimulationResult straggler = Simulate(options);
+  PrintRow(name, "straggler", straggler);
+  options.straggler_factor = 1;
+  options.all_factor = 5;
+  // The same rate of queries, five times slower, is twice the healthy load.
+  options.load = 2 * base.load / 5;
+  // Hedges must stop at once, not only when the slowdown is settled.
+  options.measure_after = options.fault_after;
+  SimulationResult slow = Simulate(options);
+  PrintRow(name, "all_slow", slow);
+  if (policy.choice != ChoicePolicy::kRouter ||
+      policy.hedge != HedgePolicy::kRouter)
+    return;
+  std::string suffix = "_" + std::to_string(options.shards);
+  Print(("straggler_p99_ratio" + suffix).c_str(),
+        ToMilliseconds(straggler.p99) / ToMilliseconds(healthy.p99), 1.3);
+  Print(("straggler_extra" + suffix).c_str(), straggler.repeat_share(), 0.05);
+  Print(("met_straggler" + suffix).c_str(), straggler.met_straggler, 1.0 / 500);
+  Print(("all_slow_repeats" + suffix).c_str(), slow.repeat_share(), 0.02);
+}
+
+}  // namespace
+}  // namespace jujubecove
+
+int main(int argc, char** argv) {
+  using namespace jujubecove;
+  SimulationOptions today;
+  if (argc > 1)
+    today.seed = std::strtoull(argv[1], nullptr, 10);
+  for (const Policy& policy : kPolicies)
+    Compare(today, policy);
+  SimulationOptions large = today;
+  large.shards = 110;
+  large.measure_for = Duration(20'000'000);
+  Compare(large, kPolicies[0]);
+  Compare(large, kPolicies[std::size(kPolicies) - 1]);
+  return passed ? 0 : 1;
+}
