--- /dev/null
+++ b/src/once/memory_ticket_table.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "once/ticket_codec.h"
+#include "once/ticket_options.h"
+
+namespace jujubecove {
+
+// The ticket table of one incarnation. Only used tickets take memory; an issued
+// one is recognised by its code. A record may be dropped once its ticket has
+// expired, because an expired ticket is refused in any case.
+class MemoryTicketTable : public TicketTable {
+ public:
+  MemoryTicketTable(TimerService& timers, TicketOptions options);
+
+  Result<std::vector<std::string>> Issue(std::size_t count) override;
+  Result<TicketOwner> OwnerOf(const std::string& ticket) const override;
+  bool Owns(const TicketOwner& owner) const override;
+  Result<TicketBegin> Begin(const std::string& ticket,
+                            std::uint64_t fingerprint,
+                            Waiter waiter) override;
+  void Finish(const std::string& ticket, TicketOutcome outcome) override;
+  std::size_t size() const override { return records_.size(); }
+
+ private:
+  // Time of issue and sequence number; ordered by expiry.
+  using Key = std::pair<Duration, std::uint64_t>;
+
+  struct Record {
+    std::uint64_t fingerprint = 0;
+    std::optional<TicketOutcome> outcome;
+    std::vector<Waiter> waiters;
+  };
+
+  Duration Elapsed() const { return timers_.Now() - start_; }
+  bool IsFull() const;
+  void DropExpired();
+  Error RefuseFull(const Key& key);
+  Result<TicketBegin> Repeat(Record& record,
+                             std::uint64_t fingerprint,
+                             Waiter waiter);
+
+  TimerService& timers_;
+  TicketOptions options_;
+  TimePoint start_;
+  std::uint64_t next_sequence_ = 1;
+  std::size_t answer_bytes_ = 0;
+  std::map<Key, Record> records_;
+  std::set<Key> refused_;
+};
+
+}  // namespace jujubecove
