--- /dev/null
+++ b/src/gather/answer_json.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/error_kind.h"
+#include "gather/query.h"
+#include "gather/query_service.h"
+
+namespace jujubecove {
+
+// The JSON form of an answer. `coverage` is null while no shard map is known,
+// and `results` is null in a refusal, so that no refusal can be taken for an
+// answer without records.
+RenderedAnswer RenderAnswer(const QueryAnswer& answer);
+
+// A refusal that no engine was asked about.
+RenderedAnswer RenderRefusal(ErrorKind error,
+                             Execution execution,
+                             std::string_view detail);
+// A refusal by a daemon that can't tell whether the request ran elsewhere: with
+// any idempotency key, "not run" becomes "unknown", because only the owner of a
+// ticket may say so.
+RenderedAnswer RenderUnprovenRefusal(ErrorKind error,
+                                     const std::string& idempotency_key,
+                                     std::string_view detail);
+
+// Appends `text` as a JSON string with its quotes.
+void AppendJsonString(std::string& out, std::string_view text);
+
+}  // namespace jujubecove
--- a/src/gather/json_array.cc
+++ b/src/gather/json_array.cc
@@ -10,7 +10,9 @@
 namespace jujubecove {
 namespace {
 
-// Accepts every event; the parser is used only to check the syntax.
+// Accepts every event; the parser is used only to check the syntax. The parser
+// prescribes the names.
+// NOLINTBEGIN(readability-identifier-naming)
 struct SyntaxHandler {
   static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
@@ -39,6 +41,7 @@
   bool on_comment_part(string_view, error_code&) { return true; }
   bool on_comment(string_view, error_code&) { return true; }
 };
+// NOLINTEND(readability-identifier-naming)
 
 bool IsSpace(char letter) {
   return letter == ' ' || letter == '\n' || letter == '\t' || letter == '\r';
@@ -84,9 +87,10 @@
 bool IsNamed(std::string_view quoted, std::string_view name) {
   if (quoted.find('\\') == std::string_view::npos)
     return quoted.substr(1, quoted.size() - 2) == name;
-  boost::json::value value =
-      boost::json::parse(boost::json::string_view(quoted.data(), quoted.size()));
-  return std::string_view(value.as_string()) == name;
+  boost::json::value value = boost::json::parse(
+      boost::json::string_view(quoted.data(), quoted.size()));
+  const boost::json::string& text = value.as_string();
+  return std::string_view(text.data(), text.size()) == name;
 }
 
 }  // namespace
--- /dev/null
+++ b/src/gather/query_engine_impl.cc
@@ -0,0 +1,231 @@
+#include "gather/query_engine_impl.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "gather/answer_builder.h"
+
+namespace jujubecove {
+
+QueryEngineImpl::QueryEngineImpl(const EngineParts& parts,
+                                 const EngineOptions& options,
+                                 std::uint64_t seed)
+    : admission_(parts.admission),
+      context_{parts.timers, parts.router, parts.transport,
+               parts.trace,  options,      RandomEngine(seed)},
+      fan_out_(context_, [this](const QueryRunPtr& run) { Finish(run); }) {
+  admission_.SetHandlers([this](RequestId request) { OnAdmitted(request); },
+                         [this](RequestId request, ErrorKind error) {
+                           OnRefused(request, error);
+                         });
+  context_.transport.SetReplyHandler(
+      [this](UpstreamReply reply) { fan_out_.HandleReply(std::move(reply)); });
+}
+
+void QueryEngineImpl::SetDocument(std::shared_ptr<const Document> document) {
+  document_ = std::move(document);
+}
+
+void QueryEngineImpl::Submit(QueryRequest request, AnswerHandler handler) {
+  QueryRunPtr run = MakeRun(std::move(request), std::move(handler));
+  if (run->error) {
+    run->finished = true;
+    QueryAnswer answer = BuildAnswer(*run);
+    run->handler(std::move(answer));
+    return;
+  }
+  SetTimes(*run);
+  queries_.emplace(run->request.id, run);
+  if (context_.timers.Now() >= run->cutoff) {
+    Refuse(run, ErrorKind::kDeadlineUnmeetable);
+    return;
+  }
+  std::weak_ptr<QueryRun> weak = run;
+  run->cutoff_timer = context_.timers.ScheduleAt(run->cutoff, [this, weak] {
+    QueryRunPtr locked = weak.lock();
+    if (locked && !locked->finished)
+      OnCutoff(locked);
+  });
+  Offer(run);
+}
+
+QueryRunPtr QueryEngineImpl::MakeRun(QueryRequest request,
+                                     AnswerHandler handler) {
+  QueryRunPtr run = std::make_shared<QueryRun>();
+  run->request = std::move(request);
+  run->handler = std::move(handler);
+  run->document = document_;
+  run->submitted = context_.timers.Now();
+  run->trace = ParseTraceparent(run->request.traceparent, context_.random);
+  if (context_.trace != nullptr &&
+      context_.trace->Wants(run->trace.trace, run->trace.sampled))
+    run->query_span = context_.random() | 1U;
+  if (!document_) {
+    run->error = ErrorKind::kNotReady;
+    return run;
+  }
+  auto it = document_->kinds.find(run->request.kind);
+  if (it == document_->kinds.end()) {
+    run->error = ErrorKind::kUnknownKind;
+    return run;
+  }
+  run->spec = &it->second;
+  if (queries_.count(run->request.id) != 0) {
+    run->error = ErrorKind::kInternal;
+    run->detail = "the request number is in use";
+    return run;
+  }
+  run->service = &fan_out_.WaitsOf(run->spec->service);
+  run->body = std::make_shared<const std::string>(std::move(run->request.body));
+  return run;
+}
+
+void QueryEngineImpl::SetTimes(QueryRun& run) {
+  const EngineOptions& options = context_.options;
+  Duration limit = std::min(run.request.deadline.value_or(run.spec->deadline),
+                            run.spec->deadline);
+  Duration share(static_cast<Duration::rep>(static_cast<double>(limit.count()) *
+                                            options.margin_share));
+  Duration margin =
+      std::clamp(share, options.least_margin, options.most_margin);
+  run.cutoff = run.submitted + limit - margin;
+}
+
+void QueryEngineImpl::Offer(const QueryRunPtr& run) {
+  AdmissionItem item;
+  item.request = run->request.id;
+  item.service = run->spec->service;
+  item.caller = run->request.caller;
+  item.urgency = run->spec->urgency;
+  item.deadline = run->cutoff;
+  item.expected_duration = context_.router.TypicalLatency(run->spec->service);
+  admission_.Offer(item);
+}
+
+void QueryEngineImpl::OnAdmitted(RequestId request) {
+  auto it = queries_.find(request);
+  if (it == queries_.end())
+    return;
+  it->second->admitted = true;
+  it->second->admitted_at = context_.timers.Now();
+  ready_.push_back(it->second);
+  StartAdmitted();
+}
+
+void QueryEngineImpl::StartAdmitted() {
+  if (is_starting_)
+    return;
+  is_starting_ = true;
+  while (!ready_.empty()) {
+    QueryRunPtr run = std::move(ready_.front());
+    ready_.pop_front();
+    if (run->finished)
+      continue;
+    if (run->query_span != 0) {
+      TraceSpan(*run, "queue", context_.random() | 1U, run->query_span,
+                run->submitted, "admitted");
+    }
+    if (context_.timers.Now() >= run->cutoff)
+      Refuse(run, ErrorKind::kDeadlineUnmeetable);
+    else
+      fan_out_.Start(run);
+  }
+  is_starting_ = false;
+}
+
+void QueryEngineImpl::OnRefused(RequestId request, ErrorKind error) {
+  auto it = queries_.find(request);
+  if (it != queries_.end())
+    Refuse(QueryRunPtr(it->second), error);
+}
+
+// Ends a query of which nothing was sent. Its coverage is stated over the map
+// that it would have used.
+void QueryEngineImpl::Refuse(const QueryRunPtr& run, ErrorKind error) {
+  run->error = error;
+  std::shared_ptr<const ShardMap> map =
+      context_.router.CurrentMap(run->spec->service);
+  if (map) {
+    run->Reset(map, std::nullopt, context_.options.max_result_bytes);
+    for (std::size_t n = 0; n < run->shards.size(); ++n)
+      run->SetGap(n, GapCause::kRefused);
+  }
+  Finish(run);
+}
+
+void QueryEngineImpl::OnCutoff(const QueryRunPtr& run) {
+  if (run->admitted && run->map) {
+    fan_out_.Cut(run);
+    return;
+  }
+  run->cutoff_passed = true;
+  if (!run->admitted)
+    admission_.Withdraw(run->request.id);
+  Refuse(run, ErrorKind::kDeadlineUnmeetable);
+}
+
+void QueryEngineImpl::Abandon(RequestId request) {
+  auto it = queries_.find(request);
+  if (it == queries_.end())
+    return;
+  QueryRunPtr run = it->second;
+  if (run->admitted && !run->spec->idempotent && run->sent > 0)
+    return;
+  run->detail = "the caller went away";
+  if (run->admitted && run->map) {
+    fan_out_.Cut(run);
+    return;
+  }
+  if (!run->admitted)
+    admission_.Withdraw(request);
+  Refuse(run, ErrorKind::kDeadlineUnmeetable);
+}
+
+void QueryEngineImpl::Finish(const QueryRunPtr& run_reference) {
+  // The reference may be to an entry of a table that changes here.
+  QueryRunPtr run = run_reference;
+  run->finished = true;
+  context_.timers.Cancel(run->cutoff_timer);
+  fan_out_.Release(*run);
+  queries_.erase(run->request.id);
+  if (run->admitted) {
+    AdmissionFeedback feedback;
+    feedback.duration = context_.timers.Now() - run->admitted_at;
+    feedback.attempts = run->sent;
+    feedback.refused = run->refused;
+    feedback.met_deadline = !run->cutoff_passed;
+    admission_.Finished(run->request.id, feedback);
+  }
+  QueryAnswer answer = BuildAnswer(*run);
+  if (run->query_span != 0) {
+    TraceSpan(*run, "query", run->query_span, run->trace.span, run->submitted,
+              answer.error ? NameOf(*answer.error) : "answered");
+  }
+  // Replies of cancelled attempts may keep the run for a while.
+  run->merger.reset();
+  AnswerHandler handler = std::move(run->handler);
+  handler(std::move(answer));
+}
+
+void QueryEngineImpl::TraceSpan(const QueryRun& run,
+                                std::string_view name,
+                                std::uint64_t span,
+                                std::uint64_t parent,
+                                TimePoint start,
+                                std::string_view status) {
+  SpanRecord record;
+  record.trace = run.trace.trace;
+  record.span = span;
+  record.parent = parent;
+  record.name = name;
+  record.start = start;
+  record.end = context_.timers.Now();
+  record.attributes = {{"kind", run.request.kind.value()},
+                       {"caller", run.request.caller.value()},
+                       {"status", std::string(status)}};
+  context_.trace->Emit(std::move(record));
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/gather/snapshot_policy.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "gather/gather_context.h"
+#include "gather/query_run.h"
+
+namespace jujubecove {
+
+enum class PinStatus : std::uint8_t {
+  kPinned,
+  // No shard map is known.
+  kNoMap,
+  // The shards have no version in common; the current map is set.
+  kNoVersion,
+};
+
+// Chooses the map and, for a snapshot kind, the index version of a query.
+class SnapshotPolicy {
+ public:
+  explicit SnapshotPolicy(GatherContext& context);
+
+  PinStatus Pin(QueryRun& run);
+  // Another map or version to start again with. Nothing when there is none,
+  // when time or the number of restarts is spent, or when the request may
+  // already have had an effect.
+  std::optional<SnapshotPin> FindOther(const QueryRun& run) const;
+  // Gives up the present map and version for `pin`.
+  void Restart(QueryRun& run, const SnapshotPin& pin);
+
+ private:
+  GatherContext& context_;
+};
+
+}  // namespace jujubecove
--- a/src/gather/sort_key.cc
+++ b/src/gather/sort_key.cc
@@ -31,8 +31,8 @@
 std::string ParseString(std::string_view quoted) {
   if (quoted.find('\\') == std::string_view::npos)
     return std::string(quoted.substr(1, quoted.size() - 2));
-  boost::json::value value =
-      boost::json::parse(boost::json::string_view(quoted.data(), quoted.size()));
+  boost::json::value value = boost::json::parse(
+      boost::json::string_view(quoted.data(), quoted.size()));
   return std::string(value.as_string());
 }
 
--- a/src/once/memory_ticket_table.cc
+++ b/src/once/memory_ticket_table.cc
@@ -12,14 +12,14 @@
 
 Result<std::vector<std::string>> MemoryTicketTable::Issue(std::size_t count) {
   if (count == 0 || count > options_.issue_limit) {
-    return Error{ErrorKind::kBadRequest,
-                 "count must be between 1 and " +
-                     std::to_string(options_.issue_limit)};
+    return Error{
+        ErrorKind::kBadRequest,
+        "count must be between 1 and " + std::to_string(options_.issue_limit)};
   }
   std::vector<std::string> tickets;
   tickets.reserve(count);
-  TicketFields fields{
-      TicketOwner{options_.peer_address, options_.incarnation}, 0, Elapsed()};
+  TicketFields fields{TicketOwner{options_.peer_address, options_.incarnation},
+                      0, Elapsed()};
   for (std::size_t n = 0; n < count; ++n) {
     fields.sequence = next_sequence_++;
     tickets.push_back(EncodeTicket(fields, options_.secret));
--- a/src/once/ticket_codec.cc
+++ b/src/once/ticket_codec.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kFixedBytes = 2 + 3 * sizeof(std::uint64_t);
 constexpr std::size_t kMaxAddressBytes = 255;
 constexpr std::size_t kMaxTextBytes = 400;
+constexpr std::uint8_t kNoDigit = 255;
 constexpr std::string_view kAlphabet =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 
@@ -50,28 +51,28 @@
   return out;
 }
 
-std::array<std::int8_t, 256> MakeReverseAlphabet() {
-  std::array<std::int8_t, 256> reverse{};
-  reverse.fill(-1);
+std::array<std::uint8_t, 256> MakeReverseAlphabet() {
+  std::array<std::uint8_t, 256> reverse{};
+  reverse.fill(kNoDigit);
   for (std::size_t n = 0; n < kAlphabet.size(); ++n)
     reverse[static_cast<std::uint8_t>(kAlphabet[n])] =
-        static_cast<std::int8_t>(n);
+        static_cast<std::uint8_t>(n);
   return reverse;
 }
 
 // Accepts only the one text that encodes the data, so that a ticket has no
 // second spelling.
 std::optional<std::string> FromBase64Url(std::string_view text) {
-  static const std::array<std::int8_t, 256> kReverse = MakeReverseAlphabet();
+  static const std::array<std::uint8_t, 256> kReverse = MakeReverseAlphabet();
   std::string out;
   out.reserve(text.size() * 3 / 4);
   std::uint32_t bits = 0;
   unsigned count = 0;
   for (char letter : text) {
-    int value = kReverse[static_cast<std::uint8_t>(letter)];
-    if (value < 0)
+    std::uint8_t value = kReverse[static_cast<std::uint8_t>(letter)];
+    if (value == kNoDigit)
       return std::nullopt;
-    bits = (bits << 6U) | static_cast<std::uint32_t>(value);
+    bits = (bits << 6U) | value;
     count += 6;
     if (count >= 8) {
       count -= 8;
@@ -111,7 +112,8 @@
   payload.append(fields.owner.peer_address);
   AppendUint64(payload, fields.owner.incarnation.value());
   AppendUint64(payload, fields.sequence);
-  AppendUint64(payload, static_cast<std::uint64_t>(fields.issued_after.count()));
+  AppendUint64(payload,
+               static_cast<std::uint64_t>(fields.issued_after.count()));
   return ToBase64Url(payload + CodeOf(payload, secret));
 }
 
--- /dev/null
+++ b/tests/unit/gather/gather_fixture.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gather/query_engine_impl.h"
+#include "kernel/fake_timer_service.h"
+
+namespace jujubecove {
+
+// Chooses the first replica that was not tried. The test sets what is usable.
+class ScriptedRouter : public Router {
+ public:
+  void SetDocument(std::shared_ptr<const Document>) override {}
+  void ApplyVmList(const std::vector<VmRecord>&) override {}
+  void ApplyReport(const SearcherReport&) override {}
+  void AddShardMap(const ServiceName&,
+                   std::shared_ptr<const ShardMap> map) override {
+    current = std::move(map);
+  }
+  void SetLiveDaemons(std::size_t) override {}
+  std::shared_ptr<const ShardMap> CurrentMap(
+      const ServiceName&) const override {
+    return current;
+  }
+  std::optional<SnapshotPin> PickSnapshot(
+      const ServiceName&,
+      const std::vector<SnapshotPin>& avoid) const override;
+  Choice Choose(const ChoiceRequest& request) override;
+  void OnSend(const UpstreamRequest&, const ServiceName&) override {}
+  void OnReply(const UpstreamReply& reply) override {
+    outcomes.push_back(reply.outcome);
+  }
+  void OnFirstAttempt(const ServiceName&) override { ++first_attempts; }
+  bool TryTakeRepeat(const ServiceName&) override {
+    if (budget == 0)
+      return false;
+    --budget;
+    return true;
+  }
+  std::optional<Duration> HedgeDelay(const ServiceName&) const override {
+    return hedge_delay;
+  }
+  Duration TypicalLatency(const ServiceName&) const override {
+    return Duration(1'000);
+  }
+
+  std::shared_ptr<const ShardMap> current;
+  // Common versions, the one to be picked first at the front.
+  std::vector<SnapshotPin> pins;
+  std::size_t replicas = 3;
+  std::set<ShardId> busy;
+  std::set<ShardId> lost;
+  std::set<ShardId> without_version;
+  std::size_t budget = 100;
+  std::optional<Duration> hedge_delay;
+  std::size_t first_attempts = 0;
+  std::vector<AttemptOutcome> outcomes;
+};
+
+// Keeps what is sent; the test answers.
+class ScriptedTransport : public UpstreamTransport {
+ public:
+  void SetReplyHandler(ReplyHandler handler) override {
+    handler_ = std::move(handler);
+  }
+  void Send(UpstreamRequest request) override {
+    sent.push_back(std::move(request));
+  }
+  void Cancel(AttemptId attempt) override { cancelled.push_back(attempt); }
+  bool HasRoomFor(std::size_t count) const override { return count <= room; }
+  void Reply(UpstreamReply reply) { handler_(std::move(reply)); }
+
+  std::vector<UpstreamRequest> sent;
+  std::vector<AttemptId> cancelled;
+  std::size_t room = 1'000;
+
+ private:
+  ReplyHandler handler_;
+};
+
+// Admits at once unless a refusal is set.
+class ScriptedAdmission : public AdmissionQueue {
+ public:
+  void SetHandlers(AdmitHandler admit, RefuseHandler refuse) override {
+    admit_ = std::move(admit);
+    refuse_ = std::move(refuse);
+  }
+  void SetDocument(const Document&, std::size_t) override {}
+  void Offer(const AdmissionItem& item) override {
+    if (refusal)
+      refuse_(item.request, *refusal);
+    else if (!holds)
+      admit_(item.request);
+  }
+  bool Withdraw(RequestId) override { return true; }
+  void Finished(RequestId, const AdmissionFeedback& feedback) override {
+    feedbacks.push_back(feedback);
+  }
+  std::size_t queued() const override { return 0; }
+
+  std::optional<ErrorKind> refusal;
+  bool holds = false;
+  std::vector<AdmissionFeedback> feedbacks;
+
+ private:
+  AdmitHandler admit_;
+  RefuseHandler refuse_;
+};
+
+// A map of four shards: a below "d", b below "h", c below "q", d above.
+std::shared_ptr<const ShardMap> FourShards(std::uint64_t version);
+
+// An engine with scripted parts. The service "s" has four shards.
+class GatherTest : public testing::Test {
+ protected:
+  GatherTest();
+
+  KindSpec& Kind(const std::string& name) {
+    return document_->kinds[KindName(name)];
+  }
+  // Number of the request; its answer appears in answers_.
+  RequestId Submit(const std::string& kind, const std::string& key = "");
+  // Answers an attempt as a correct searcher would, with one record that names
+  // the shard and the version.
+  void Answer(std::size_t n, std::uint64_t index_version = 5);
+  void Answer(std::size_t n, UpstreamReply reply);
+  void Fail(std::size_t n, AttemptOutcome outcome, Execution execution);
+  UpstreamReply GoodReply(std::size_t n, std::uint64_t index_version) const;
+  const UpstreamRequest& Sent(std::size_t n) const {
+    return transport_.sent.at(n);
+  }
+  QueryAnswer& Only();
+
+  FakeTimerService timers_;
+  ScriptedRouter router_;
+  ScriptedTransport transport_;
+  ScriptedAdmission admission_;
+  std::shared_ptr<Document> document_ = std::make_shared<Document>();
+  QueryEngineImpl engine_;
+  std::vector<QueryAnswer> answers_;
+  std::uint64_t last_request_ = 0;
+};
+
+}  // namespace jujubecove
