Add log categories, metrics and traces

Each thread hands log lines and spans to the telemetry thread through a bounded ring; a full ring drops and counts them. Log lines go through easylogging++ to standard error as text or as one JSON object a line. Spans follow the W3C traceparent of the caller and are written as OTLP/JSON lines.

--- /dev/null
+++ b/src/telemetry/telemetry_writer.cc
@@ -0,0 +1,53 @@
+#include "telemetry/telemetry_writer.h"
+
+#include <iostream>
+#include <utility>
+
+namespace jujubecove {
+
+TelemetryWriter::TelemetryWriter(boost::asio::io_context& context,
+                                 MetricsRegistry& metrics,
+                                 SpanResource resource,
+                                 const std::string& span_path)
+    : context_(context),
+      metrics_(metrics),
+      resource_(std::move(resource)),
+      written_spans_(
+          metrics.AddCounter("jujubecove_telemetry_written_spans_total",
+                             "Spans written.")) {
+  if (span_path.empty())
+    return;
+  if (span_path == "-") {
+    spans_ = &std::cout;
+    return;
+  }
+  file_.open(span_path, std::ios::app);
+  good_ = file_.good();
+  if (good_)
+    spans_ = &file_;
+}
+
+TelemetryPort& TelemetryWriter::AddPort(const std::string& thread_name,
+                                        std::size_t capacity) {
+  ports_.push_back(std::make_unique<TelemetryPort>(
+      thread_name, context_, capacity,
+      [this](TelemetryRecord record) { Write(record); }, metrics_));
+  return *ports_.back();
+}
+
+void TelemetryWriter::Write(const TelemetryRecord& record) {
+  if (const LogRecord* log = std::get_if<LogRecord>(&record))
+    WriteLogRecord(*log);
+  else
+    WriteSpan(std::get<Span>(record));
+}
+
+void TelemetryWriter::WriteSpan(const Span& span) {
+  if (spans_ == nullptr)
+    return;
+  // Flushed at once, so that a reader of the file sees whole lines.
+  *spans_ << ToOtlpJson(span, resource_) << '\n' << std::flush;
+  written_spans_.Add();
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/telemetry/telemetry_writer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "telemetry/metrics.h"
+#include "telemetry/span.h"
+#include "telemetry/telemetry_port.h"
+
+namespace jujubecove {
+
+// Writes log lines to standard error and spans to a file. Lives on the
+// telemetry thread.
+class TelemetryWriter {
+ public:
+  // An empty `span_path` discards spans; "-" stands for standard output.
+  TelemetryWriter(boost::asio::io_context& context,
+                  MetricsRegistry& metrics,
+                  SpanResource resource,
+                  const std::string& span_path);
+
+  // Called while the process is being wired. The port stays valid as long as
+  // the writer.
+  TelemetryPort& AddPort(const std::string& thread_name, std::size_t capacity);
+  // False when the span file could not be opened.
+  bool good() const { return good_; }
+
+ private:
+  void Write(const TelemetryRecord& record);
+  void WriteSpan(const Span& span);
+
+  boost::asio::io_context& context_;
+  MetricsRegistry& metrics_;
+  SpanResource resource_;
+  std::ofstream file_;
+  // Null when spans are discarded.
+  std::ostream* spans_ = nullptr;
+  bool good_ = true;
+  Counter& written_spans_;
+  std::vector<std::unique_ptr<TelemetryPort>> ports_;
+};
+
+}  // namespace jujubecove
