--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -57,8 +57,8 @@
 
  private:
   std::uint16_t CallerPort(std::size_t n) const;
-  std::uint16_t OperationsPort(std::size_t n) const;
   std::uint16_t PeerPort(std::size_t n) const;
+  std::string VmListWithDaemons() const;
   void WriteSettings(std::size_t n);
   void StartDaemon(std::size_t n);
 
