--- a/bench/cluster.cc
+++ b/bench/cluster.cc
@@ -13,7 +13,7 @@
 #include <sstream>
 #include <thread>
 
-#include "bench/http.h"
+#include "ctl/http_fetch.h"
 
 namespace jujubecove::bench {
 namespace {
@@ -85,6 +85,10 @@
                                     n * kPortsPerDaemon);
 }
 
+std::string Cluster::CallerAddress(std::size_t n) const {
+  return "127.0.0.1:" + std::to_string(CallerPort(n));
+}
+
 std::uint16_t Cluster::PeerPort(std::size_t n) const {
   return static_cast<std::uint16_t>(CallerPort(n) + 1);
 }
@@ -140,7 +144,7 @@
   constexpr milliseconds kStep{20};
   HttpReply reply;
   for (milliseconds waited{0}; waited < kReadyTimeout; waited += kStep) {
-    reply = Fetch(CallerPort(n), "GET", "/readyz");
+    reply = Get(CallerAddress(n), "/readyz");
     if (reply.status == 200)
       return;
     if (!daemons_[n]->running())
@@ -182,7 +186,7 @@
 
 double Cluster::Metric(std::size_t n, const std::string& name) {
   double sum = 0.0;
-  std::istringstream text(Fetch(CallerPort(n), "GET", "/metrics").body);
+  std::istringstream text(Get(CallerAddress(n), "/metrics").body);
   for (std::string line; std::getline(text, line);) {
     std::size_t end = line.find_first_of(" {");
     if (end == std::string::npos || line.compare(0, end, name) != 0)
--- a/bench/drain_bench.cc
+++ b/bench/drain_bench.cc
@@ -6,9 +6,9 @@
 
 #include <atomic>
 
-#include "bench/http.h"
 #include "bench/report.h"
 #include "bench/scenario.h"
+#include "ctl/http_fetch.h"
 
 DEFINE_uint64(seed, 1, "seed of arrivals and service times");
 
@@ -30,6 +30,7 @@
   options.seed = FLAGS_seed;
   Cluster cluster(options);
   std::vector<std::uint16_t> ports = cluster.caller_ports();
+  std::string leaver = "127.0.0.1:" + std::to_string(ports[kLeaver]);
   std::atomic<bool> leaver_ready = true;
   LoadOptions load;
   load.kinds = {Search("urgent-search", kLoad * CapacityOf(kServiceTime))};
@@ -47,9 +48,9 @@
       cluster.ApplyFaults(R"({"replica":0,"draining":true})");
     });
     DelayedAction daemon_leaves(
-        milliseconds(5'000), [&cluster, &leaver_ready, &ports, &exit_code] {
+        milliseconds(5'000), [&cluster, &leaver_ready, &leaver, &exit_code] {
           cluster.daemon(kLeaver).Signal(SIGTERM);
-          while (Fetch(ports[kLeaver], "GET", "/readyz").status == 200)
+          while (Get(leaver, "/readyz").status == 200)
             std::this_thread::sleep_for(milliseconds(10));
           leaver_ready = false;
           exit_code = cluster.daemon(kLeaver).Wait(milliseconds(30'000));
