Move messages through Channel instead of copying them

boost::lockfree::spsc_queue of Boost 1.81 copies its elements on push and on pop, so each reply body was copied twice between the threads. Channel now uses a ring of its own that moves; a message type need not be copyable. Its interface is unchanged.

--- a/src/kernel/channel.h
+++ b/src/kernel/channel.h
@@ -3,11 +3,12 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/lockfree/spsc_queue.hpp>
 #include <cstddef>
 #include <functional>
 #include <utility>
 
+#include "kernel/spsc_ring.h"
+
 namespace jujubecove {
 
 // A bounded ring from one producing thread to one consuming thread that runs an
@@ -29,7 +30,7 @@
 
   // Called by the producer. On false `message` is left as it was.
   bool TryPush(T&& message) {
-    if (!ring_.push(std::move(message)))
+    if (!ring_.TryPush(std::move(message)))
       return false;
     if (!scheduled_.exchange(true, std::memory_order_acq_rel))
       boost::asio::post(consumer_, [this] { Drain(); });
@@ -37,7 +38,7 @@
   }
 
   // Called by the producer.
-  std::size_t FreeSlots() const { return ring_.write_available(); }
+  std::size_t FreeSlots() const { return ring_.FreeSlots(); }
 
  private:
   // Bounds the work of one turn, so that the consumer's sockets and timers are
@@ -47,12 +48,12 @@
   void Drain() {
     T message{};
     for (std::size_t n = 0; n < kBatch; ++n) {
-      if (!ring_.pop(message)) {
+      if (!ring_.TryPop(message)) {
         scheduled_.store(false, std::memory_order_release);
         std::atomic_thread_fence(std::memory_order_seq_cst);
         // A message pushed between the failed pop and the store did not wake
         // anyone.
-        if (ring_.read_available() == 0 ||
+        if (ring_.Empty() ||
             scheduled_.exchange(true, std::memory_order_acq_rel))
           return;
         continue;
@@ -63,7 +64,7 @@
   }
 
   boost::asio::io_context& consumer_;
-  boost::lockfree::spsc_queue<T> ring_;
+  SpscRing<T> ring_;
   std::atomic<bool> scheduled_{false};
   std::function<void(T)> handler_;
 };
--- a/tests/unit/kernel/channel_test.cc
+++ b/tests/unit/kernel/channel_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <memory>
 #include <thread>
 
 namespace jujubecove {
@@ -45,5 +46,22 @@
   EXPECT_FALSE(channel.TryPush(3));
 }
 
+// Guards against a ring that copies messages, which would duplicate every reply
+// body on its way between threads.
+TEST(ChannelTest, MovesMessages) {
+  boost::asio::io_context context;
+  Channel<std::unique_ptr<int>> channel(context, 2);
+  int sum = 0;
+  channel.SetHandler([&](std::unique_ptr<int> message) { sum += *message; });
+  for (int round = 1; round <= 5; ++round) {
+    EXPECT_EQ(channel.FreeSlots(), 2U);
+    EXPECT_TRUE(channel.TryPush(std::make_unique<int>(round)));
+    EXPECT_EQ(channel.FreeSlots(), 1U);
+    context.restart();
+    context.poll();
+  }
+  EXPECT_EQ(sum, 15);
+}
+
 }  // namespace
 }  // namespace jujubecove
