Add the report poller and test pools, silence and the channel

The directory needs reports and shard maps without waiting for traffic. The poller fetches a report when a searcher is added, when a reply states a new generation and each second from a quiet searcher; a map that is invalid or not taken is fetched again with the next poll. UpstreamChannel hands both to the query thread. The tests run real sockets under a fake clock.

--- /dev/null
+++ b/src/upstream/report_poller.cc
@@ -0,0 +1,176 @@
+#include "upstream/report_poller.h"
+
+#include <chrono>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "upstream/wire.h"
+
+namespace jujubecove {
+namespace {
+
+constexpr Duration kPollInterval = std::chrono::seconds(1);
+// Spreads the polls of searchers that were added at the same time.
+constexpr Duration kPollJitter = std::chrono::milliseconds(250);
+// Bounds the memory that searchers can claim by naming ever more epochs; only
+// a few are in use at a time.
+constexpr std::size_t kMaxMapsPerService = 64;
+constexpr unsigned kStatusOk = 200;
+
+}  // namespace
+
+ReportPoller::ReportPoller(HttpUpstreamTransport& transport,
+                           TimerService& timer,
+                           std::uint64_t seed)
+    : transport_(transport), timer_(timer), random_(seed) {
+  transport_.SetSearcherHandler(
+      [this](const SearcherId& id, bool added) { OnSearcher(id, added); });
+  transport_.SetContactHandler(
+      [this](const SearcherId& id, std::optional<std::uint64_t> generation) {
+        OnContact(id, generation);
+      });
+}
+
+ReportPoller::~ReportPoller() {
+  *alive_ = false;
+  transport_.SetSearcherHandler(nullptr);
+  transport_.SetContactHandler(nullptr);
+  for (auto& [id, searcher] : searchers_)
+    timer_.Cancel(searcher.timer);
+}
+
+void ReportPoller::SetReportHandler(ReportHandler handler) {
+  report_handler_ = std::move(handler);
+}
+
+void ReportPoller::SetMapHandler(MapHandler handler) {
+  map_handler_ = std::move(handler);
+}
+
+void ReportPoller::OnSearcher(const SearcherId& id, bool added) {
+  if (!added) {
+    auto it = searchers_.find(id);
+    timer_.Cancel(it->second.timer);
+    searchers_.erase(it);
+    return;
+  }
+  // The pool has no connection before this returns, so the first report is
+  // fetched by a poll that is due at once.
+  Searcher& searcher = searchers_[id];
+  searcher.timer = timer_.ScheduleAfter(Duration(0), [this, id] { Poll(id); });
+}
+
+void ReportPoller::OnContact(const SearcherId& id,
+                             std::optional<std::uint64_t> generation) {
+  auto it = searchers_.find(id);
+  if (it == searchers_.end())
+    return;
+  Searcher& searcher = it->second;
+  searcher.last_contact = timer_.Now();
+  if (!generation || searcher.fetching || generation == searcher.fetched ||
+      generation == searcher.announced)
+    return;
+  searcher.announced = generation;
+  FetchReport(id, searcher);
+}
+
+void ReportPoller::SchedulePoll(const SearcherId& id,
+                                Searcher& searcher,
+                                TimePoint from) {
+  std::uniform_int_distribution<Duration::rep> jitter(0, kPollJitter.count());
+  TimePoint when = from + kPollInterval + Duration(jitter(random_));
+  searcher.timer = timer_.ScheduleAt(when, [this, id] { Poll(id); });
+}
+
+void ReportPoller::Poll(const SearcherId& id) {
+  Searcher& searcher = searchers_.at(id);
+  TimePoint now = timer_.Now();
+  bool quiet = now - searcher.last_contact >= kPollInterval;
+  if (!searcher.fetching && (quiet || !searcher.fetched)) {
+    FetchReport(id, searcher);
+    SchedulePoll(id, searcher, now);
+  } else {
+    SchedulePoll(id, searcher, searcher.fetching ? now : searcher.last_contact);
+  }
+}
+
+void ReportPoller::FetchReport(const SearcherId& id, Searcher& searcher) {
+  searcher.fetching = true;
+  transport_.Fetch(id, std::string(wire::kReportPath),
+                   [this, id, alive = alive_](ParsedReply* reply) {
+                     if (*alive)
+                       TakeReport(id, reply);
+                   });
+}
+
+void ReportPoller::TakeReport(const SearcherId& id, ParsedReply* reply) {
+  auto it = searchers_.find(id);
+  if (it == searchers_.end())
+    return;
+  it->second.fetching = false;
+  it->second.fetched.reset();
+  if (reply == nullptr || reply->status != kStatusOk)
+    return;
+  Result<GeneratedReport> decoded = DecodeReport(id, reply->body);
+  if (!decoded || !report_handler_(decoded.value().report))
+    return;
+  it->second.fetched = decoded.value().generation;
+  FetchMaps(decoded.value().report);
+}
+
+void ReportPoller::FetchMaps(const SearcherReport& report) {
+  for (const SearcherReport::Holding& holding : report.holdings) {
+    MapKey key(report.service, holding.map_version);
+    if (WantsMap(key))
+      FetchMap(report.searcher, key);
+  }
+}
+
+bool ReportPoller::WantsMap(const MapKey& key) const {
+  if (fetching_maps_.count(key) != 0)
+    return false;
+  auto it = known_maps_.find(key.first);
+  if (it == known_maps_.end() || it->second.empty())
+    return true;
+  const std::set<ShardMapVersion>& known = it->second;
+  bool too_old =
+      known.size() >= kMaxMapsPerService && key.second < *known.begin();
+  return !too_old && known.count(key.second) == 0;
+}
+
+void ReportPoller::FetchMap(const SearcherId& id, const MapKey& key) {
+  fetching_maps_.insert(key);
+  transport_.Fetch(
+      id,
+      std::string(wire::kMapPathPrefix) + std::to_string(key.second.value()),
+      [this, id, key, alive = alive_](ParsedReply* reply) {
+        if (*alive && !TakeMap(key, reply))
+          Forget(id);
+      });
+}
+
+bool ReportPoller::TakeMap(const MapKey& key, ParsedReply* reply) {
+  fetching_maps_.erase(key);
+  if (reply == nullptr || reply->status != kStatusOk)
+    return false;
+  Result<ShardMap> map = DecodeShardMap(reply->body);
+  if (!map || map.value().version() != key.second)
+    return false;
+  if (!map_handler_(key.first,
+                    std::make_shared<const ShardMap>(std::move(map).value())))
+    return false;
+  std::set<ShardMapVersion>& known = known_maps_[key.first];
+  known.insert(key.second);
+  if (known.size() > kMaxMapsPerService)
+    known.erase(known.begin());
+  return true;
+}
+
+void ReportPoller::Forget(const SearcherId& id) {
+  auto it = searchers_.find(id);
+  if (it != searchers_.end())
+    it->second.fetched.reset();
+}
+
+}  // namespace jujubecove
--- a/src/upstream/upstream_channel.cc
+++ b/src/upstream/upstream_channel.cc
@@ -4,23 +4,54 @@
 #include <utility>
 
 namespace jujubecove {
+namespace {
+
+// Reports come once a second and searcher at most, unless holdings change.
+constexpr std::size_t kNoticeCapacity = 1024;
+
+}  // namespace
 
 UpstreamChannel::UpstreamChannel(boost::asio::io_context& query_context,
                                  boost::asio::io_context& upstream_context,
                                  HttpUpstreamTransport& transport,
+                                 ReportPoller& poller,
                                  std::size_t capacity)
     : query_context_(query_context),
       upstream_context_(upstream_context),
       transport_(transport),
       capacity_(capacity),
       commands_(upstream_context, capacity),
-      replies_(query_context, capacity) {
+      replies_(query_context, capacity),
+      notices_(query_context, kNoticeCapacity) {
   commands_.SetHandler(
       [this](Command command) { RunCommand(std::move(command)); });
   replies_.SetHandler(
       [this](UpstreamReply reply) { TakeReply(std::move(reply)); });
   transport_.SetReplyHandler(
       [this](UpstreamReply reply) { replies_.TryPush(std::move(reply)); });
+  ForwardNotices(poller);
+}
+
+void UpstreamChannel::ForwardNotices(ReportPoller& poller) {
+  notices_.SetHandler([this](Notice notice) { TakeNotice(std::move(notice)); });
+  poller.SetReportHandler([this](const SearcherReport& report) {
+    return notices_.TryPush(Notice(report));
+  });
+  poller.SetMapHandler(
+      [this](const ServiceName& service, std::shared_ptr<const ShardMap> map) {
+        return notices_.TryPush(Notice(MapNotice{service, std::move(map)}));
+      });
+}
+
+void UpstreamChannel::SetReportHandler(
+    std::function<void(const SearcherReport&)> handler) {
+  report_handler_ = std::move(handler);
+}
+
+void UpstreamChannel::SetMapHandler(
+    std::function<void(const ServiceName&, std::shared_ptr<const ShardMap>)>
+        handler) {
+  map_handler_ = std::move(handler);
 }
 
 void UpstreamChannel::SetReplyHandler(ReplyHandler handler) {
@@ -32,7 +63,7 @@
   refusal.attempt = request.attempt;
   refusal.searcher = request.searcher;
   if (outstanding_ < capacity_ &&
-      commands_.TryPush(Command(std::move(request)))) {
+      commands_.TryPush(Command{CommandKind::kSend, std::move(request)})) {
     ++outstanding_;
     return;
   }
@@ -44,7 +75,9 @@
 }
 
 void UpstreamChannel::Cancel(AttemptId attempt) {
-  commands_.TryPush(Command(attempt));
+  Command command{CommandKind::kCancel, {}};
+  command.request.attempt = attempt;
+  commands_.TryPush(std::move(command));
 }
 
 bool UpstreamChannel::HasRoomFor(std::size_t count) const {
@@ -59,10 +92,17 @@
 }
 
 void UpstreamChannel::RunCommand(Command command) {
-  if (UpstreamRequest* request = std::get_if<UpstreamRequest>(&command))
-    transport_.Send(std::move(*request));
-  else if (const AttemptId* attempt = std::get_if<AttemptId>(&command))
-    transport_.Cancel(*attempt);
+  if (command.kind == CommandKind::kSend)
+    transport_.Send(std::move(command.request));
+  else
+    transport_.Cancel(command.request.attempt);
+}
+
+void UpstreamChannel::TakeNotice(Notice notice) {
+  if (const SearcherReport* report = std::get_if<SearcherReport>(&notice))
+    report_handler_(*report);
+  else if (MapNotice* map = std::get_if<MapNotice>(&notice))
+    map_handler_(map->service, std::move(map->map));
 }
 
 void UpstreamChannel::TakeReply(UpstreamReply reply) {
--- /dev/null
+++ b/tests/unit/upstream/connection_pool_test.cc
@@ -0,0 +1,355 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "transport_fixture.h"
+
+namespace jujubecove {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ConnectionPoolTest : public TransportFixture {
+ protected:
+  static RawSearcher::Handler Good() {
+    return [](RawSearcher::Session& session, const RawRequest& request) {
+      session.Write(request.start_line.starts_with("GET") ? PlainReply()
+                                                          : GoodReply(request));
+    };
+  }
+  static RawSearcher::Handler Nothing() {
+    return [](RawSearcher::Session&, const RawRequest&) {};
+  }
+};
+
+// Guards against a head that the searchers' protocol does not define.
+TEST_F(ConnectionPoolTest, SendsTheRequestOfTheProtocol) {
+  RawSearcher& searcher = AddSearcher(Good());
+  UpstreamRequest request = Request(searcher);
+  request.index_version = IndexVersion(41);
+  request.idempotency_key = "ticket";
+  request.traceparent = "00-aa-bb-01";
+  UpstreamReply reply = Exchange(request);
+  EXPECT_EQ(reply.shard, ShardId("s0"));
+  EXPECT_EQ(reply.map_version, ShardMapVersion(7));
+  EXPECT_EQ(reply.index_version, IndexVersion(41));
+  EXPECT_EQ(reply.reported_in_flight, 1U);
+  ASSERT_EQ(searcher.requests.size(), 1U);
+  const RawRequest& seen = searcher.requests[0];
+  EXPECT_EQ(seen.start_line, "POST /v1/execute HTTP/1.1");
+  EXPECT_EQ(seen.Header("Host"), searcher.id().value());
+  EXPECT_EQ(seen.Header("Jujubecove-Attempt"), "abc-5-1");
+  EXPECT_EQ(seen.Header("Jujubecove-Kind"), "lookup");
+  EXPECT_EQ(seen.Header("Jujubecove-Shard"), "s0");
+  EXPECT_EQ(seen.Header("Jujubecove-Shard-Map"), "7");
+  EXPECT_EQ(seen.Header("Jujubecove-Index-Version"), "41");
+  EXPECT_EQ(seen.Header("Jujubecove-Deadline-Ms"), "400");
+  EXPECT_EQ(seen.Header("Idempotency-Key"), "ticket");
+  EXPECT_EQ(seen.Header("traceparent"), "00-aa-bb-01");
+  EXPECT_EQ(seen.body, "{}");
+}
+
+// Guards against a caller that adds headers through a value it controls.
+TEST_F(ConnectionPoolTest, RefusesAControlCharacterInAHeader) {
+  RawSearcher& searcher = AddSearcher(Good());
+  UpstreamRequest request = Request(searcher);
+  request.idempotency_key = "a\r\nJujubecove-Shard: s1";
+  UpstreamReply reply = Exchange(request);
+  EXPECT_EQ(NameOf(reply.outcome), "failed");
+  EXPECT_EQ(reply.execution, Execution::kNotRun);
+  EXPECT_TRUE(searcher.requests.empty());
+}
+
+// Guards against a request larger than the socket's buffer that is cut short,
+// and against a large reply that is not put together.
+TEST_F(ConnectionPoolTest, CarriesLargeBodies) {
+  std::string large(4'000'000, 'x');
+  RawSearcher& searcher =
+      AddSearcher([&](RawSearcher::Session& session, const RawRequest& it) {
+        // Written in the background, since the reader runs on this thread.
+        session.WriteAsync(GoodReply(it, it.body));
+      });
+  UpstreamRequest request = Request(searcher);
+  request.body = std::make_shared<const std::string>(large);
+  UpstreamReply reply = Exchange(request);
+  EXPECT_EQ(NameOf(reply.outcome), "ok");
+  EXPECT_TRUE(reply.body == large);
+}
+
+// Guards against more connections than the share while many attempts wait.
+TEST_F(ConnectionPoolTest, StaysWithinTheShareAndClosesSurplus) {
+  RawSearcher& searcher = AddSearcher(Nothing(), 3);
+  for (int n = 0; n < 10; ++n)
+    transport->Send(Request(searcher));
+  Settle();
+  EXPECT_EQ(searcher.sessions.size(), 3U);
+  EXPECT_EQ(searcher.requests.size(), 3U);
+  transport->SetConnectionShare(searcher.id(), 1);
+  // The busy ones are kept until their replies are in.
+  EXPECT_EQ(transport->ConnectionCount(searcher.id()), 3U);
+  for (std::size_t n = 0; n < 3; ++n) {
+    RawRequest request = searcher.requests[n];
+    searcher.sessions[request.session]->Write(GoodReply(request));
+  }
+  Settle();
+  EXPECT_EQ(transport->ConnectionCount(searcher.id()), 1U);
+  EXPECT_EQ(searcher.OpenSessions(), 1U);
+  transport->SetConnectionShare(searcher.id(), 0);
+  Settle();
+  EXPECT_EQ(replies.size(), 9U);
+  RawRequest last = searcher.requests.back();
+  searcher.sessions[last.session]->Write(GoodReply(last));
+  Settle();
+  EXPECT_EQ(replies.size(), 10U);
+  EXPECT_EQ(NameOf(replies.back().outcome), "ok");
+  EXPECT_EQ(searcher.OpenSessions(), 0U);
+}
+
+// Guards against an attempt that outlives its deadline in the queue, or one
+// that is reported as perhaps run though nothing was written.
+TEST_F(ConnectionPoolTest, WaitingAttemptEndsAtItsDeadlineAsNotRun) {
+  RawSearcher& searcher = AddSearcher(Nothing());
+  UpstreamRequest busy = Request(searcher);
+  busy.idempotent = false;
+  transport->Send(busy);
+  UpstreamRequest waiting = Request(searcher);
+  waiting.deadline = timer.Now() + milliseconds(100);
+  transport->Send(waiting);
+  Advance(milliseconds(98));
+  EXPECT_TRUE(replies.empty());
+  Advance(milliseconds(4));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].attempt, waiting.attempt);
+  EXPECT_EQ(NameOf(replies[0].outcome), "no_connection");
+  EXPECT_EQ(replies[0].execution, Execution::kNotRun);
+}
+
+// Guards against an unbounded queue at a searcher that has stalled.
+TEST_F(ConnectionPoolTest, FullQueueRefuses) {
+  UpstreamOptions options;
+  options.max_waiting = 2;
+  Restart(options);
+  RawSearcher& searcher = AddSearcher(Nothing());
+  for (int n = 0; n < 4; ++n)
+    transport->Send(Request(searcher));
+  Settle();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].attempt, AttemptId(4));
+  EXPECT_EQ(NameOf(replies[0].outcome), "no_connection");
+  EXPECT_EQ(replies[0].execution, Execution::kNotRun);
+}
+
+// Guards against a searcher that is gone and keeps attempts until their
+// deadline, and against reconnecting in a loop.
+TEST_F(ConnectionPoolTest, UnreachableSearcherFailsAttemptsAtOnce) {
+  RawSearcher& searcher = AddSearcher(Good());
+  searcher.StopAccepting();
+  searcher.sessions[0]->Close();
+  UpstreamReply reply = Exchange(Request(searcher));
+  EXPECT_EQ(reply.execution, NameOf(reply.outcome) == "connection_lost"
+                                 ? Execution::kUnknown
+                                 : Execution::kNotRun);
+  Settle();
+  reply = Exchange(Request(searcher));
+  EXPECT_EQ(NameOf(reply.outcome), "connect_failed");
+  EXPECT_EQ(reply.execution, Execution::kNotRun);
+  std::int64_t failures = transport->upstream_stats().connect_failures.value();
+  Settle();
+  EXPECT_EQ(transport->upstream_stats().connect_failures.value(), failures);
+  Advance(seconds(10), milliseconds(50));
+  // Back-off reaches two seconds, drawn between half and the whole.
+  EXPECT_LE(transport->upstream_stats().connect_failures.value(),
+            failures + 16);
+  EXPECT_GT(transport->upstream_stats().connect_failures.value(), failures);
+}
+
+// Guards against a loop of set-ups at a searcher that accepts and closes.
+TEST_F(ConnectionPoolTest, BacksOffFromASearcherThatClosesAtOnce) {
+  RawSearcher& searcher = AddSearcher(Good());
+  for (int n = 0; n < 20; ++n) {
+    if (!searcher.sessions.back()->ended())
+      searcher.sessions.back()->Close();
+    Settle();
+  }
+  EXPECT_EQ(searcher.sessions.size(), 1U);
+  Advance(seconds(1));
+  EXPECT_EQ(searcher.sessions.size(), 2U);
+}
+
+// Guards against an attempt that waits for a set-up that never completes.
+TEST_F(ConnectionPoolTest, SlowConnectEndsAsConnectFailed) {
+  // A listener whose backlog is full leaves further set-ups unanswered.
+  boost::asio::ip::tcp::acceptor stuck(context);
+  boost::asio::ip::tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"),
+                                     0);
+  stuck.open(any.protocol());
+  stuck.bind(any);
+  stuck.listen(0);
+  std::vector<boost::asio::ip::tcp::socket> fillers;
+  for (int n = 0; n < 8; ++n) {
+    fillers.emplace_back(context);
+    fillers.back().async_connect(stuck.local_endpoint(),
+                                 [](const boost::system::error_code&) {});
+  }
+  Settle();
+  SearcherId id("127.0.0.1:" + std::to_string(stuck.local_endpoint().port()));
+  transport->SetConnectionShare(id, 1);
+  UpstreamRequest request;
+  request.attempt = AttemptId(1);
+  request.searcher = id;
+  request.deadline = timer.Now() + seconds(5);
+  transport->Send(request);
+  Advance(milliseconds(990), milliseconds(10));
+  EXPECT_TRUE(replies.empty());
+  Advance(milliseconds(20));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "connect_failed");
+  EXPECT_EQ(replies[0].execution, Execution::kNotRun);
+}
+
+// Guards against unsolicited bytes on an idle connection being taken for the
+// reply to the next attempt.
+TEST_F(ConnectionPoolTest, UnsolicitedBytesCloseTheConnection) {
+  RawSearcher& searcher = AddSearcher(Good());
+  ASSERT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+  searcher.sessions[0]->Write(GoodReply(searcher.requests[0]));
+  Settle();
+  EXPECT_EQ(transport->upstream_stats().unsolicited.value(), 1);
+  EXPECT_TRUE(searcher.sessions[0]->ended());
+  Advance(seconds(1));
+  EXPECT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+}
+
+// Guards against a late duplicate that arrives while the connection carries
+// the next attempt.
+TEST_F(ConnectionPoolTest, LateDuplicateEndsTheNextAttemptAsBadReply) {
+  RawSearcher& searcher = AddSearcher(
+      [&](RawSearcher::Session& session, const RawRequest& request) {
+        session.Write(GoodReply(searchers[0]->requests.size() == 2
+                                    ? searchers[0]->requests[0]
+                                    : request));
+      });
+  ASSERT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+  UpstreamReply second = Exchange(Request(searcher));
+  EXPECT_EQ(NameOf(second.outcome), "bad_reply");
+  EXPECT_EQ(second.execution, Execution::kUnknown);
+  EXPECT_TRUE(second.body.empty());
+}
+
+// Guards against a non-idempotent request on a connection that went silent
+// while it was idle.
+TEST_F(ConnectionPoolTest, ChecksAnIdleConnectionBeforeANonIdempotentRequest) {
+  RawSearcher& searcher = AddSearcher(Good());
+  ASSERT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+  Advance(milliseconds(1'010));
+  UpstreamRequest request = Request(searcher);
+  request.idempotent = false;
+  EXPECT_EQ(NameOf(Exchange(request).outcome), "ok");
+  ASSERT_EQ(searcher.requests.size(), 3U);
+  EXPECT_EQ(searcher.requests[1].start_line, "GET /v1/ping HTTP/1.1");
+  EXPECT_EQ(searcher.requests[2].start_line, "POST /v1/execute HTTP/1.1");
+}
+
+// Guards against a non-idempotent request that is lost, or written twice, when
+// the check before it gets no answer.
+TEST_F(ConnectionPoolTest, UnansweredCheckMovesTheRequestToANewConnection) {
+  RawSearcher& searcher =
+      AddSearcher([](RawSearcher::Session& session, const RawRequest& request) {
+        if (session.number() > 0)
+          session.Write(GoodReply(request));
+      });
+  Advance(milliseconds(1'010));
+  UpstreamRequest request = Request(searcher);
+  request.idempotent = false;
+  transport->Send(request);
+  Advance(milliseconds(60));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "ok");
+  ASSERT_EQ(searcher.requests.size(), 2U);
+  EXPECT_EQ(searcher.requests[0].start_line, "GET /v1/ping HTTP/1.1");
+  EXPECT_EQ(searcher.sessions.size(), 2U);
+  EXPECT_TRUE(searcher.sessions[0]->ended());
+}
+
+// Guards against a cancelled attempt whose late reply reaches another attempt,
+// and against a connection that is given back before that reply.
+TEST_F(ConnectionPoolTest, CancelledAttemptKeepsItsConnectionUntilTheReply) {
+  RawSearcher& searcher = AddSearcher(
+      [](RawSearcher::Session& session, const RawRequest& request) {
+        if (request.start_line.find("cancel") != std::string::npos)
+          session.Write(PlainReply());
+      },
+      2);
+  UpstreamRequest first = Request(searcher);
+  transport->Send(first);
+  Settle();
+  transport->Cancel(first.attempt);
+  EXPECT_TRUE(replies.empty());
+  Settle();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "cancelled");
+  EXPECT_EQ(replies[0].execution, Execution::kUnknown);
+  ASSERT_EQ(searcher.requests.size(), 2U);
+  EXPECT_EQ(searcher.requests[1].start_line, "POST /v1/cancel HTTP/1.1");
+  EXPECT_EQ(searcher.requests[1].Header("Jujubecove-Attempt"), "abc-5-1");
+
+  // One connection is free again, the other waits for the late reply.
+  transport->Send(Request(searcher));
+  transport->Send(Request(searcher));
+  Settle();
+  EXPECT_EQ(searcher.requests.size(), 3U);
+  for (const auto& session : searcher.sessions)
+    session->Write(GoodReply(searcher.requests[0]));
+  Settle();
+  // The session that carried attempt 2 answered for attempt 1.
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(replies[1].attempt, AttemptId(2));
+  EXPECT_EQ(NameOf(replies[1].outcome), "bad_reply");
+  EXPECT_EQ(searcher.requests.size(), 4U);
+  EXPECT_EQ(searcher.requests[3].Header("Jujubecove-Attempt"), "abc-5-3");
+}
+
+// Guards against a cancelled attempt that holds its connection forever.
+TEST_F(ConnectionPoolTest, CancelledAttemptWithoutAReplyIsClosedAfterABound) {
+  RawSearcher& searcher = AddSearcher(Nothing());
+  UpstreamRequest first = Request(searcher);
+  transport->Send(first);
+  Settle();
+  transport->Cancel(first.attempt);
+  Advance(milliseconds(1'100));
+  EXPECT_TRUE(searcher.sessions[0]->ended());
+  EXPECT_EQ(searcher.sessions.size(), 2U);
+  EXPECT_EQ(replies.size(), 1U);
+}
+
+// Guards against a waiting attempt that is sent although it was cancelled.
+TEST_F(ConnectionPoolTest, CancelledWhileWaitingIsNotRun) {
+  RawSearcher& searcher = AddSearcher(Nothing());
+  transport->Send(Request(searcher));
+  UpstreamRequest waiting = Request(searcher);
+  transport->Send(waiting);
+  transport->Cancel(waiting.attempt);
+  Settle();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].attempt, waiting.attempt);
+  EXPECT_EQ(NameOf(replies[0].outcome), "cancelled");
+  EXPECT_EQ(replies[0].execution, Execution::kNotRun);
+  searcher.sessions[0]->Write(GoodReply(searcher.requests[0]));
+  Settle();
+  EXPECT_EQ(searcher.requests.size(), 1U);
+}
+
+// Guards against a Send to a searcher that no share was set for.
+TEST_F(ConnectionPoolTest, UnknownSearcherIsNoConnection) {
+  UpstreamRequest request;
+  request.attempt = AttemptId(1);
+  request.searcher = SearcherId("not an address");
+  transport->SetConnectionShare(request.searcher, 2);
+  UpstreamReply reply = Exchange(request);
+  EXPECT_EQ(NameOf(reply.outcome), "no_connection");
+  EXPECT_EQ(reply.execution, Execution::kNotRun);
+}
+
+}  // namespace
+}  // namespace jujubecove
--- a/tests/unit/upstream/raw_searcher.h
+++ b/tests/unit/upstream/raw_searcher.h
@@ -22,6 +22,8 @@
   std::string start_line;
   std::map<std::string, std::string> headers;
   std::string body;
+  // Number of the session that it came on.
+  int session = 0;
 
   std::string Header(const std::string& name) const {
     auto it = headers.find(name);
@@ -56,6 +58,13 @@
       boost::system::error_code ec;
       boost::asio::write(socket_, boost::asio::buffer(bytes), ec);
     }
+    // For bytes that exceed the socket's buffer.
+    void WriteAsync(std::string bytes) {
+      auto held = std::make_shared<std::string>(std::move(bytes));
+      boost::asio::async_write(
+          socket_, boost::asio::buffer(*held),
+          [held](const boost::system::error_code&, std::size_t) {});
+    }
     void Close() {
       boost::system::error_code ec;
       socket_.close(ec);
@@ -81,6 +90,7 @@
 
   RawSearcher(boost::asio::io_context& context, Handler handler)
       : acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        id_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())),
         handler_(std::move(handler)) {
     Accept();
   }
@@ -89,10 +99,7 @@
       session->Close();
   }
 
-  SearcherId id() const {
-    return SearcherId("127.0.0.1:" +
-                      std::to_string(acceptor_.local_endpoint().port()));
-  }
+  const SearcherId& id() const { return id_; }
   void StopAccepting() { acceptor_.close(); }
   std::size_t OpenSessions() const {
     std::size_t count = 0;
@@ -118,6 +125,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  SearcherId id_;
   Handler handler_;
 };
 
@@ -142,6 +150,7 @@
       return;
     request.body = pending_.substr(end + 4, length);
     pending_.erase(0, end + 4 + length);
+    request.session = number_;
     owner_.requests.push_back(request);
     owner_.handler_(*this, request);
   }
--- /dev/null
+++ b/tests/unit/upstream/silence_test.cc
@@ -0,0 +1,217 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "transport_fixture.h"
+
+namespace jujubecove {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The deadline of 400 ms allows 100 ms without a byte.
+class SilenceTest : public TransportFixture {
+ protected:
+  // Answers on the sessions that are not in `silent`.
+  RawSearcher::Handler AnswersUnlessSilent() {
+    return [this](RawSearcher::Session& session, const RawRequest& request) {
+      if (silent.count(session.number()) != 0)
+        return;
+      session.Write(request.start_line.starts_with("GET") ? PlainReply()
+                                                          : GoodReply(request));
+    };
+  }
+
+  std::int64_t SilentFound() const {
+    return transport->upstream_stats().silent_found.value();
+  }
+
+  std::set<int> silent;
+};
+
+// Guards against a query that waits out its deadline on a dead connection, and
+// against a replacement that is made only on demand.
+TEST_F(SilenceTest, SilentConnectionIsReplacedAndTheAttemptEndsEarly) {
+  RawSearcher& searcher = AddSearcher(AnswersUnlessSilent());
+  silent = {0};
+  transport->Send(Request(searcher));
+  Advance(milliseconds(96));
+  EXPECT_TRUE(replies.empty());
+  Advance(milliseconds(6));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "silent");
+  EXPECT_EQ(replies[0].execution, Execution::kUnknown);
+  EXPECT_EQ(SilentFound(), 1);
+  EXPECT_TRUE(searcher.sessions[0]->ended());
+  EXPECT_EQ(searcher.sessions.size(), 2U);
+  EXPECT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+}
+
+// Guards against a bound that ignores what is known of the service's latency.
+TEST_F(SilenceTest, KnownLatencyShortensTheBound) {
+  RawSearcher& searcher = AddSearcher(AnswersUnlessSilent());
+  ASSERT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+  silent = {0};
+  transport->Send(Request(searcher));
+  Advance(milliseconds(24));
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(NameOf(replies[1].outcome), "silent");
+}
+
+// Guards against a dead searcher that is never blamed because each of its
+// connections counts as silent.
+TEST_F(SilenceTest, NewConnectionThatIsSilentTooCountsAgainstTheSearcher) {
+  RawSearcher& searcher = AddSearcher(AnswersUnlessSilent());
+  silent = {0, 1, 2, 3};
+  transport->Send(Request(searcher));
+  Advance(milliseconds(110));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "silent");
+  transport->Send(Request(searcher));
+  Advance(milliseconds(390));
+  EXPECT_EQ(replies.size(), 1U);
+  Advance(milliseconds(20));
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(NameOf(replies[1].outcome), "timed_out");
+  EXPECT_EQ(replies[1].execution, Execution::kUnknown);
+}
+
+// Guards against the other connections that died with the first one being
+// found out one query at a time.
+TEST_F(SilenceTest, IdleConnectionsAreCheckedWhenOneIsFoundSilent) {
+  RawSearcher& searcher = AddSearcher(AnswersUnlessSilent(), 4);
+  silent = {0, 1, 2, 3};
+  transport->Send(Request(searcher));
+  Advance(milliseconds(140));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "silent");
+  EXPECT_EQ(SilentFound(), 4);
+  EXPECT_EQ(searcher.OpenSessions(), 4U);
+  EXPECT_EQ(searcher.sessions.size(), 8U);
+  for (int n = 0; n < 4; ++n)
+    transport->Send(Request(searcher));
+  ASSERT_TRUE(RunUntil([&] { return replies.size() == 5; }));
+  for (int n = 1; n <= 4; ++n)
+    EXPECT_EQ(NameOf(replies[n].outcome), "ok");
+}
+
+// Guards against connections that work being closed together with the one that
+// went silent.
+TEST_F(SilenceTest, IdleConnectionsThatAnswerAreKept) {
+  RawSearcher& searcher = AddSearcher(AnswersUnlessSilent(), 3);
+  ASSERT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+  silent = {searcher.requests[0].session};
+  transport->Send(Request(searcher));
+  Advance(milliseconds(110));
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(NameOf(replies[1].outcome), "silent");
+  EXPECT_EQ(SilentFound(), 1);
+  EXPECT_EQ(searcher.sessions.size(), 4U);
+  EXPECT_EQ(searcher.OpenSessions(), 3U);
+}
+
+// Guards against a slow searcher whose connections are closed as silent: once
+// it has been seen to answer slowly, its attempts run to their deadline.
+TEST_F(SilenceTest, KnownSlowSearcherIsNotSilent) {
+  RawSearcher& searcher =
+      AddSearcher([](RawSearcher::Session&, const RawRequest&) {});
+  auto answer = [&] {
+    searcher.sessions[0]->Write(GoodReply(searcher.requests.back()));
+    Settle();
+  };
+  transport->Send(Request(searcher));
+  Advance(milliseconds(90));
+  answer();
+  ASSERT_EQ(replies.size(), 1U);
+  // Twice the latency seen is longer than a quarter of the deadline.
+  transport->Send(Request(searcher));
+  Advance(milliseconds(170));
+  EXPECT_EQ(replies.size(), 1U);
+  answer();
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(NameOf(replies[1].outcome), "ok");
+  EXPECT_EQ(SilentFound(), 0);
+}
+
+// Guards against a slow request that is cut at the short bound although the
+// searcher answers a ping on a connection just as old.
+TEST_F(SilenceTest, AnsweredPingExtendsTheBound) {
+  RawSearcher& searcher = AddSearcher(AnswersUnlessSilent(), 2);
+  ASSERT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
+  silent = {searcher.requests[0].session};
+  transport->Send(Request(searcher));
+  Advance(milliseconds(90));
+  EXPECT_EQ(replies.size(), 1U);
+  EXPECT_EQ(searcher.requests.back().start_line, "GET /v1/ping HTTP/1.1");
+  searcher.sessions[searcher.requests[1].session]->Write(
+      GoodReply(searcher.requests[1]));
+  Settle();
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(NameOf(replies[1].outcome), "ok");
+}
+
+// Guards against a reply that trickles in being taken for silence, and against
+// one that stops halfway being waited for.
+TEST_F(SilenceTest, EveryByteIsProgress) {
+  RawSearcher& searcher =
+      AddSearcher([](RawSearcher::Session&, const RawRequest&) {});
+  transport->Send(Request(searcher));
+  Settle();
+  std::string reply = GoodReply(searcher.requests[0]);
+  for (std::size_t n = 0; n < 3; ++n) {
+    Advance(milliseconds(90));
+    searcher.sessions[0]->Write(reply.substr(n, 1));
+    Settle();
+  }
+  EXPECT_TRUE(replies.empty());
+  Advance(milliseconds(104));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "silent");
+  EXPECT_EQ(replies[0].execution, Execution::kUnknown);
+}
+
+// Guards against a non-idempotent request that is cut early, after which its
+// outcome would be unknown for nothing.
+TEST_F(SilenceTest, NonIdempotentRequestEndsAtItsDeadlineAsUnknown) {
+  RawSearcher& searcher = AddSearcher(AnswersUnlessSilent());
+  silent = {0};
+  UpstreamRequest request = Request(searcher);
+  request.idempotent = false;
+  transport->Send(request);
+  Advance(milliseconds(396));
+  EXPECT_TRUE(replies.empty());
+  Advance(milliseconds(6));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "timed_out");
+  EXPECT_EQ(replies[0].execution, Execution::kUnknown);
+}
+
+// Guards against a late reply after the deadline that reaches another attempt
+// or costs a connection that works.
+TEST_F(SilenceTest, LateReplyIsDroppedAndItsConnectionUsedAgain) {
+  RawSearcher& searcher =
+      AddSearcher([](RawSearcher::Session&, const RawRequest&) {});
+  UpstreamRequest request = Request(searcher);
+  request.idempotent = false;
+  transport->Send(request);
+  Advance(milliseconds(410));
+  ASSERT_EQ(replies.size(), 1U);
+  transport->Send(Request(searcher));
+  Settle();
+  EXPECT_EQ(searcher.requests.size(), 1U);
+  searcher.sessions[0]->Write(GoodReply(searcher.requests[0]));
+  Settle();
+  EXPECT_EQ(replies.size(), 1U);
+  ASSERT_EQ(searcher.requests.size(), 2U);
+  searcher.sessions[0]->Write(GoodReply(searcher.requests[1], "[2]"));
+  Settle();
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(replies[1].attempt, AttemptId(2));
+  EXPECT_EQ(replies[1].body, "[2]");
+}
+
+}  // namespace
+}  // namespace jujubecove
