--- a/src/routing/adaptive_router.cc
+++ b/src/routing/adaptive_router.cc
@@ -1,6 +1,7 @@
 #include "routing/adaptive_router.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace jujubecove {
@@ -9,6 +10,10 @@
 // How long a choice of map or version may miss that a searcher's last answer
 // has become too old; all other changes show at once.
 constexpr Duration kMemoLifetime{100'000};
+// Hedging right at the 95th percentile would spend the whole budget on a
+// healthy service; this much later it spends about half, and the rest is kept
+// for stragglers and retries.
+constexpr double kHedgeMargin = 1.15;
 // A shorter delay would hedge replies that are about to arrive; a longer one
 // leaves too little of the usual deadline of 250 ms.
 constexpr Duration kShortestHedge{1'000};
@@ -297,7 +302,9 @@
   const ServiceState* state = FindState(service);
   if (!state || !state->latency.HasEnough() || state->latency.IsSlow())
     return std::nullopt;
-  return std::clamp(state->latency.Recent95th(), kShortestHedge, kLongestHedge);
+  Duration delay = std::chrono::duration_cast<Duration>(
+      state->latency.Recent95th() * kHedgeMargin);
+  return std::clamp(delay, kShortestHedge, kLongestHedge);
 }
 
 Duration AdaptiveRouter::TypicalLatency(const ServiceName& service) const {
--- a/src/routing/outlier_ejection.cc
+++ b/src/routing/outlier_ejection.cc
@@ -12,9 +12,9 @@
 // A searcher that stayed in use for this long starts again from the first
 // period.
 constexpr Duration kForgetAfter{120'000'000};
-// The bound is 1 query in 500; the rest is margin for queries that meet a
-// straggler before it is known again.
-constexpr double kQueriesPerProbe = 600;
+// The bound is 1 query in 500; the rest is margin for repeats that have no
+// other replica left and for saved tokens.
+constexpr double kQueriesPerProbe = 800;
 
 }  // namespace
 
