--- /dev/null
+++ b/src/frontend/frontend_bridge.cc
@@ -0,0 +1,159 @@
+#include "frontend/frontend_bridge.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "frontend/error_body.h"
+#include "telemetry/log.h"
+
+namespace jujubecove {
+namespace {
+
+RenderedAnswer RenderTickets(const Result<std::vector<std::string>>& tickets) {
+  if (!tickets)
+    return RenderError(tickets.error().kind,
+                       AnswerOf(tickets.error().kind).execution,
+                       tickets.error().detail);
+  boost::json::array names;
+  for (const std::string& ticket : tickets.value())
+    names.emplace_back(ticket);
+  boost::json::object body;
+  body["status"] = "ok";
+  body["tickets"] = std::move(names);
+  return RenderedAnswer{200, boost::json::serialize(body)};
+}
+
+}  // namespace
+
+// The ring of answers has a place for every request in flight, so that an
+// answer is never refused.
+FrontendBridge::FrontendBridge(boost::asio::io_context& frontend,
+                               boost::asio::io_context& query,
+                               const FrontendLimits& limits,
+                               MetricsRegistry& metrics)
+    : max_in_flight_(limits.requests_in_flight),
+      commands_(query, limits.ring_messages),
+      answers_(frontend, limits.requests_in_flight),
+      refused_(metrics.AddCounter(
+          "jujubecove_frontend_overloaded_total",
+          "Requests refused because the ring to the query thread was full or "
+          "too many were in flight.")),
+      mismatched_(metrics.AddCounter(
+          "jujubecove_frontend_mismatched_answers_total",
+          "Answers that matched no waiting request and were dropped.")),
+      in_flight_gauge_(metrics.AddGauge(
+          "jujubecove_frontend_in_flight",
+          "Requests that the query thread has not answered.")) {
+  commands_.SetHandler(
+      [this](Command command) { OnCommand(std::move(command)); });
+  answers_.SetHandler([this](Answer answer) { OnAnswer(std::move(answer)); });
+}
+
+Result<RequestId> FrontendBridge::Submit(QueryRequest request,
+                                         ConnectionGeneration generation,
+                                         AnswerHandler handler) {
+  Command command;
+  command.action = Action::kSubmit;
+  command.generation = generation;
+  command.request = std::move(request);
+  return Push(std::move(command), std::move(handler));
+}
+
+Result<RequestId> FrontendBridge::IssueTickets(std::size_t count,
+                                               ConnectionGeneration generation,
+                                               AnswerHandler handler) {
+  Command command;
+  command.action = Action::kIssueTickets;
+  command.generation = generation;
+  command.ticket_count = count;
+  return Push(std::move(command), std::move(handler));
+}
+
+Result<RequestId> FrontendBridge::Push(Command command, AnswerHandler handler) {
+  PushAbandons();
+  RequestId id(next_id_);
+  ConnectionGeneration generation = command.generation;
+  command.id = id;
+  command.request.id = id;
+  if (waiting_.size() >= max_in_flight_ ||
+      !commands_.TryPush(std::move(command))) {
+    refused_.Add();
+    return Error{ErrorKind::kOverloaded, "too many requests in flight"};
+  }
+  ++next_id_;
+  waiting_.emplace(id, Waiting{generation, std::move(handler)});
+  in_flight_gauge_.Set(static_cast<double>(waiting_.size()));
+  return id;
+}
+
+void FrontendBridge::Abandon(RequestId id) {
+  auto it = waiting_.find(id);
+  if (it == waiting_.end())
+    return;
+  it->second.handler = nullptr;
+  late_abandons_.push_back(id);
+  PushAbandons();
+}
+
+void FrontendBridge::PushAbandons() {
+  while (!late_abandons_.empty()) {
+    Command command;
+    command.action = Action::kAbandon;
+    command.id = late_abandons_.back();
+    if (!commands_.TryPush(std::move(command)))
+      return;
+    late_abandons_.pop_back();
+  }
+}
+
+void FrontendBridge::OnAnswer(Answer answer) {
+  auto it = waiting_.find(answer.id);
+  if (it == waiting_.end() || it->second.generation != answer.generation) {
+    mismatched_.Add();
+    JJ_LOG(kFrontend, ERROR) << "dropped an answer to request "
+                             << answer.id.value() << " that nothing waits for";
+    return;
+  }
+  AnswerHandler handler = std::move(it->second.handler);
+  waiting_.erase(it);
+  std::erase(late_abandons_, answer.id);
+  in_flight_gauge_.Set(static_cast<double>(waiting_.size()));
+  PushAbandons();
+  if (handler)
+    handler(answer.generation, std::move(answer.answer));
+}
+
+void FrontendBridge::OnCommand(Command command) {
+  RequestId id = command.id;
+  ConnectionGeneration generation = command.generation;
+  switch (command.action) {
+    case Action::kSubmit:
+      service_->Submit(std::move(command.request),
+                       [this, id, generation](RenderedAnswer answer) {
+                         PushAnswer(id, generation, std::move(answer));
+                       });
+      return;
+    case Action::kIssueTickets:
+      service_->IssueTickets(
+          command.ticket_count,
+          [this, id, generation](Result<std::vector<std::string>> tickets) {
+            PushAnswer(id, generation, RenderTickets(tickets));
+          });
+      return;
+    case Action::kAbandon:
+      service_->Abandon(id);
+      return;
+  }
+}
+
+void FrontendBridge::PushAnswer(RequestId id,
+                                ConnectionGeneration generation,
+                                RenderedAnswer answer) {
+  if (!answers_.TryPush(Answer{id, generation, std::move(answer)}))
+    JJ_LOG(kFrontend, ERROR) << "second answer to request " << id.value();
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/frontend/request_reader.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "frontend/caller_request.h"
+#include "frontend/error_body.h"
+#include "frontend/frontend_limits.h"
+
+namespace jujubecove {
+
+// Reads one request after another from a stream of bytes, whatever the pieces
+// in which they arrive. It knows nothing of sockets and time.
+class RequestReader {
+ public:
+  enum class State : std::uint8_t {
+    // No byte of the next request has been seen.
+    kEmpty,
+    kHeader,
+    kBody,
+    kComplete,
+    kFailed,
+  };
+
+  explicit RequestReader(const FrontendLimits& limits);
+
+  // Reads from `buf` as far as the current request goes and returns the state.
+  // Bytes of following requests stay in `buf`.
+  State Read(boost::beast::flat_buffer& buf);
+  // Forgets the current request. The next Read starts another.
+  void Reset();
+
+  State state() const { return state_; }
+  // Bytes that `buf` has to be able to hold for a Read to make progress.
+  std::size_t BufferBytes() const;
+
+  // Valid in kBody and kComplete.
+  const CallerRequest& request() const { return request_; }
+  // Whether the caller waits for "100 Continue". Valid in kBody.
+  bool expects_continue() const;
+  bool is_keep_alive() const;
+  unsigned http_version() const;
+  // Valid in kComplete.
+  std::string TakeBody();
+  // Valid in kFailed.
+  const Error& error() const { return error_; }
+  TicketKnowledge ticket_knowledge() const;
+  const std::string& allowed_methods() const { return allowed_methods_; }
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void OnHeader();
+  void Fail(ErrorKind kind, std::string detail);
+
+  FrontendLimits limits_;
+  std::unique_ptr<Parser> parser_;
+  State state_ = State::kEmpty;
+  bool header_done_ = false;
+  CallerRequest request_;
+  Error error_{ErrorKind::kInternal, ""};
+  std::string allowed_methods_;
+};
+
+}  // namespace jujubecove
