Name the telemetry's trace position SpanContext

The gather library has a type of the name TraceContext with another layout in the same namespace; both end up in one program, which the language forbids.

--- a/src/telemetry/span.cc
+++ b/src/telemetry/span.cc
@@ -26,7 +26,7 @@
   object["traceId"] = span.context.TraceIdText();
   object["spanId"] = span.context.SpanIdText();
   if (span.parent_span_id) {
-    TraceContext parent;
+    SpanContext parent;
     parent.span_id = *span.parent_span_id;
     object["parentSpanId"] = parent.SpanIdText();
   }
--- a/src/telemetry/span.h
+++ b/src/telemetry/span.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "telemetry/trace_context.h"
+#include "telemetry/span_context.h"
 
 namespace jujubecove {
 
@@ -16,7 +16,7 @@
 
 // One hop of a trace.
 struct Span {
-  TraceContext context;
+  SpanContext context;
   std::optional<std::array<std::uint8_t, 8>> parent_span_id;
   std::string name;
   SpanKind kind = SpanKind::kInternal;
--- a/src/telemetry/trace_context.cc
+++ b/src/telemetry/span_context.cc
@@ -1,4 +1,4 @@
-#include "telemetry/trace_context.h"
+#include "telemetry/span_context.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -53,23 +53,23 @@
 
 }  // namespace
 
-std::string TraceContext::TraceIdText() const {
+std::string SpanContext::TraceIdText() const {
   return ToHex(trace_id);
 }
 
-std::string TraceContext::SpanIdText() const {
+std::string SpanContext::SpanIdText() const {
   return ToHex(span_id);
 }
 
-std::string TraceContext::ToTraceparent() const {
+std::string SpanContext::ToTraceparent() const {
   return "00-" + TraceIdText() + "-" + SpanIdText() + (sampled ? "-01" : "-00");
 }
 
-std::optional<TraceContext> TraceContext::Parse(std::string_view traceparent) {
+std::optional<SpanContext> SpanContext::Parse(std::string_view traceparent) {
   if (traceparent.size() < kTraceparentSize || traceparent[2] != '-' ||
       traceparent[kSpanIdAt - 1] != '-' || traceparent[kFlagsAt - 1] != '-')
     return std::nullopt;
-  TraceContext context;
+  SpanContext context;
   std::array<std::uint8_t, 1> version{};
   std::array<std::uint8_t, 1> flags{};
   if (!ParseHex(traceparent, version) ||
--- a/src/telemetry/trace_context.h
+++ b/src/telemetry/span_context.h
@@ -10,7 +10,7 @@
 
 // A position in a distributed trace, as the W3C header `traceparent` carries
 // it. Neither id is all zeros.
-struct TraceContext {
+struct SpanContext {
   std::array<std::uint8_t, 16> trace_id{};
   std::array<std::uint8_t, 8> span_id{};
   bool sampled = false;
@@ -23,9 +23,9 @@
   std::string ToTraceparent() const;
   // Nothing for a value that the specification says to ignore. Versions after
   // 00 are read by the fields they share with it.
-  static std::optional<TraceContext> Parse(std::string_view traceparent);
+  static std::optional<SpanContext> Parse(std::string_view traceparent);
 
-  friend bool operator==(const TraceContext&, const TraceContext&) = default;
+  friend bool operator==(const SpanContext&, const SpanContext&) = default;
 };
 
 }  // namespace jujubecove
--- a/src/telemetry/tracer.cc
+++ b/src/telemetry/tracer.cc
@@ -38,7 +38,7 @@
   span.name = std::move(name);
   span.kind = kind;
   span.start_unix_us = (now.time_since_epoch() + unix_epoch_offset_).count();
-  std::optional<TraceContext> parent = TraceContext::Parse(traceparent);
+  std::optional<SpanContext> parent = SpanContext::Parse(traceparent);
   if (parent) {
     span.context = *parent;
     span.parent_span_id = parent->span_id;
--- a/tests/unit/telemetry/trace_test.cc
+++ b/tests/unit/telemetry/trace_test.cc
@@ -18,8 +18,8 @@
     "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
 
 // Guards against headers that the specification says to ignore.
-TEST(TraceContextTest, ParsesOnlyValidHeaders) {
-  EXPECT_EQ(TraceContext::Parse(kParent)->ToTraceparent(), kParent);
+TEST(SpanContextTest, ParsesOnlyValidHeaders) {
+  EXPECT_EQ(SpanContext::Parse(kParent)->ToTraceparent(), kParent);
   for (const char* text :
        {"", "00", "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7",
         "00-4BF92F3577B34DA6A3CE929D0E0E4736-00f067aa0ba902b7-01",
@@ -29,21 +29,21 @@
         "ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
         "01-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01x",
         "00_4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"})
-    EXPECT_FALSE(TraceContext::Parse(text)) << text;
-  EXPECT_TRUE(TraceContext::Parse(
+    EXPECT_FALSE(SpanContext::Parse(text)) << text;
+  EXPECT_TRUE(SpanContext::Parse(
                   "01-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-03-x")
                   ->sampled);
 }
 
 // Guards against reads past the end of a short or odd header.
-RC_GTEST_PROP(TraceContextPropertyTest, AnyChangedByteIsHandled, ()) {
+RC_GTEST_PROP(SpanContextPropertyTest, AnyChangedByteIsHandled, ()) {
   std::string text = kParent;
   std::size_t at = *rc::gen::inRange<std::size_t>(0, text.size());
   text[at] = *rc::gen::arbitrary<char>();
   text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 2), '0');
-  std::optional<TraceContext> context = TraceContext::Parse(text);
+  std::optional<SpanContext> context = SpanContext::Parse(text);
   if (context)
-    RC_ASSERT(TraceContext::Parse(context->ToTraceparent()) == context);
+    RC_ASSERT(SpanContext::Parse(context->ToTraceparent()) == context);
 }
 
 // Guards against a new trace where the caller's should go on, and against a
