Add the baseline policies of the experiments

Cause: each experiment compares with a random replica, no hedges and no admission in the same program.

--- /dev/null
+++ b/src/admission/open_admission.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <utility>
+
+#include "admission/admission_queue.h"
+
+namespace jujubecove {
+
+// Admits everything at once: the baseline of experiments.
+class OpenAdmission : public AdmissionQueue {
+ public:
+  void SetHandlers(AdmitHandler admit, RefuseHandler) override {
+    admit_ = std::move(admit);
+  }
+  void SetDocument(const Document&, std::size_t) override {}
+  void Offer(const AdmissionItem& item) override { admit_(item.request); }
+  bool Withdraw(RequestId) override { return false; }
+  void Finished(RequestId, const AdmissionFeedback&) override {}
+  std::size_t queued() const override { return 0; }
+
+ private:
+  AdmitHandler admit_;
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/routing/baseline_router.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/random.h"
+#include "routing/router.h"
+
+namespace jujubecove {
+
+// The router that experiments compare with: a random replica among those that
+// hold the version, whatever was observed, and no hedges. What it knows of maps
+// and versions comes from another router.
+class BaselineRouter : public Router {
+ public:
+  BaselineRouter(std::unique_ptr<Router> directory, std::uint64_t seed);
+
+  void SetDocument(std::shared_ptr<const Document> document) override;
+  void ApplyVmList(const std::vector<SearcherVm>& records) override;
+  void ApplyReport(const SearcherReport& report) override;
+  void AddShardMap(const ServiceName& service,
+                   std::shared_ptr<const ShardMap> map) override;
+  void SetLiveDaemons(std::size_t count) override;
+  std::shared_ptr<const ShardMap> CurrentMap(
+      const ServiceName& service) const override;
+  std::optional<SnapshotPin> PickSnapshot(
+      const ServiceName& service,
+      const std::vector<SnapshotPin>& avoid) const override;
+  Choice Choose(const ChoiceRequest& request) override;
+  void OnSend(const UpstreamRequest& request,
+              const ServiceName& service) override;
+  void OnReply(const UpstreamReply& reply) override;
+  void OnFirstAttempt(const ServiceName& service) override;
+  bool TryTakeRepeat(const ServiceName& service) override;
+  std::optional<Duration> HedgeDelay(const ServiceName& service) const override;
+  Duration TypicalLatency(const ServiceName& service) const override;
+
+ private:
+  static bool Holds(const SearcherReport& report, const ChoiceRequest& request);
+
+  std::unique_ptr<Router> directory_;
+  RandomEngine random_;
+  std::unordered_map<ServiceName,
+                     std::unordered_map<SearcherId, SearcherReport>>
+      reports_;
+};
+
+}  // namespace jujubecove
