--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -15,7 +15,7 @@
 namespace jujubecove {
 
 // One VM of the platform's list. For an upstream VM `searcher` is its address.
-struct VmRecord {
+struct SearcherVm {
   VmId id;
   ZoneName zone;
   SearcherId searcher;
@@ -53,6 +53,8 @@
 struct Choice {
   ChoiceStatus status = ChoiceStatus::kNoReplica;
   SearcherId searcher;
+  // The searcher is an outlier that is tried again, so a hedge should not wait.
+  bool probe = false;
 };
 
 // Decides where attempts go. It owns what is known of searchers: the
@@ -63,7 +65,7 @@
   virtual ~Router() = default;
 
   virtual void SetDocument(std::shared_ptr<const Document> document) = 0;
-  virtual void ApplyVmList(const std::vector<VmRecord>& records) = 0;
+  virtual void ApplyVmList(const std::vector<SearcherVm>& records) = 0;
   virtual void ApplyReport(const SearcherReport& report) = 0;
   virtual void AddShardMap(const ServiceName& service,
                            std::shared_ptr<const ShardMap> map) = 0;
