Measure the spread and the cost of configuration changes

The tool now reads the zone records at overlapping intervals instead of waiting for watches whose replies are lost, news goes only to peers that are not known to have it, exchanges out of turn replace a membership round, and the two phases of a change have relays of their own.

--- a/src/config/activator.cc
+++ b/src/config/activator.cc
@@ -279,7 +279,9 @@
 void Activator::WriteActive() {
   ActiveRecord record{identity_, active_.history};
   if (active_.active.version != ConfigVersion())
-    record.history.insert(record.history.begin(), active_.active);
+    record.history.insert(
+        record.history.begin(),
+        PastVersion{active_.active.version, active_.active.hash});
   if (record.history.size() > kHistoryLength)
     record.history.resize(kHistoryLength);
   std::weak_ptr<bool> alive = alive_;
@@ -312,35 +314,36 @@
 // delayed write could still take effect, so the same write is repeated: exactly
 // one of them can succeed, and both mean the same.
 void Activator::ResolveActive() {
-  ReadKey(
-      kActiveKey, &Activator::ResolveActive, [this](const StoreReply& reply) {
-        if (reply.revision == active_revision_) {
-          Retry(&Activator::WriteActive);
-          return;
-        }
-        std::optional<ActiveRecord> record = ParseActiveRecord(reply.value);
-        if (!record) {
-          Finish(ApplyOutcome::kUnknown,
-                 "the store's record of the active version is malformed");
-          return;
-        }
-        const std::vector<VersionIdentity>& history = record->history;
-        bool listed = std::find(history.begin(), history.end(), identity_) !=
-                      history.end();
-        if (record->active == identity_ || listed) {
-          report_.superseded = listed;
-          Begin(&Activator::WaitInForce);
-          return;
-        }
-        report_.conflict = true;
-        // The history may be too short to tell.
-        bool complete = history.size() < kHistoryLength ||
-                        history.back().version < identity_.version;
-        Finish(complete || !activation_sent_ ? ApplyOutcome::kNowhere
-                                             : ApplyOutcome::kUnknown,
-               "version " + std::to_string(record->active.version.value()) +
-                   " was activated first");
-      });
+  ReadKey(kActiveKey, &Activator::ResolveActive,
+          [this](const StoreReply& reply) {
+            if (reply.revision == active_revision_) {
+              Retry(&Activator::WriteActive);
+              return;
+            }
+            std::optional<ActiveRecord> record = ParseActiveRecord(reply.value);
+            if (!record) {
+              Finish(ApplyOutcome::kUnknown,
+                     "the store's record of the active version is malformed");
+              return;
+            }
+            const std::vector<PastVersion>& history = record->history;
+            PastVersion own{identity_.version, identity_.hash};
+            bool listed =
+                std::find(history.begin(), history.end(), own) != history.end();
+            if (record->active == identity_ || listed) {
+              report_.superseded = listed;
+              Begin(&Activator::WaitInForce);
+              return;
+            }
+            report_.conflict = true;
+            // The history may be too short to tell.
+            bool complete = history.size() < kHistoryLength ||
+                            history.back().version < identity_.version;
+            Finish(complete || !activation_sent_ ? ApplyOutcome::kNowhere
+                                                 : ApplyOutcome::kUnknown,
+                   "version " + std::to_string(record->active.version.value()) +
+                       " was activated first");
+          });
 }
 
 void Activator::WaitInForce() {
--- a/src/config/config_agent.cc
+++ b/src/config/config_agent.cc
@@ -177,7 +177,7 @@
   // The delta of the proposal is still the cheapest way to this version.
   if (proposal_.version == version && proposal_.hash == hash)
     target_ = proposal_;
-  relay_.SetSubject(version, hash);
+  relay_.SetSubject(version, hash, true);
   attempts_ = 0;
   Proceed();
 }
@@ -191,7 +191,7 @@
   if (proposal.version > proposal_.version)
     rejection_.clear();
   proposal_ = std::move(proposal);
-  relay_.SetSubject(proposal_.version, proposal_.hash);
+  relay_.SetSubject(proposal_.version, proposal_.hash, false);
   attempts_ = 0;
   Proceed();
 }
@@ -389,9 +389,13 @@
 void ConfigAgent::SpreadStep() {
   if (spread_steps_left_ == 0)
     return;
+  bool first = spread_steps_left_ == options_.spread_steps;
   --spread_steps_left_;
   for (bool same_zone : {true, false}) {
-    std::size_t sends = same_zone ? 2 : 1;
+    std::size_t sends = 1;
+    // The acknowledgements have just told the relays, which tell two others.
+    if (same_zone && first)
+      sends = relay_.IsRelay() ? 2 : 0;
     for (const wire::Member& peer :
          membership_.RandomPeers(membership_.live().size(), same_zone)) {
       if (sends == 0)
--- a/src/config/config_agent.h
+++ b/src/config/config_agent.h
@@ -22,8 +22,9 @@
   ConfigReaderOptions reader;
   ZoneRelayOptions relay;
   // News is pushed in this many steps, this far apart, to peers that are not
-  // known to have it: two of the zone and one of another in each step.
-  std::uint32_t spread_steps = 4;
+  // known to have it. A daemon that all of these miss, a few in a hundred,
+  // learns of the news with the next round of the membership.
+  std::uint32_t spread_steps = 3;
   Duration spread_interval{100'000};
   Duration first_retry{100'000};
   Duration longest_retry{1'000'000};
--- a/src/config/config_records.cc
+++ b/src/config/config_records.cc
@@ -52,8 +52,8 @@
 std::string FormatRecord(const ActiveRecord& record) {
   json::object object = ToJson(record.active);
   json::array history;
-  for (const VersionIdentity& identity : record.history)
-    history.push_back(ToJson(identity));
+  for (const PastVersion& past : record.history)
+    history.push_back(json::array{past.version.value(), past.hash});
   object["history"] = std::move(history);
   return json::serialize(object);
 }
@@ -86,7 +86,9 @@
     ActiveRecord record;
     record.active = IdentityOf(object);
     for (const json::value& item : object.at("history").as_array())
-      record.history.push_back(IdentityOf(item.as_object()));
+      record.history.push_back(
+          PastVersion{ConfigVersion(item.at(0).to_number<std::uint64_t>()),
+                      item.at(1).to_number<std::uint64_t>()});
     return record;
   });
 }
--- a/src/config/config_records.h
+++ b/src/config/config_records.h
@@ -37,9 +37,16 @@
 // change every 6.2 s they cover 100 s.
 inline constexpr std::size_t kHistoryLength = 16;
 
+struct PastVersion {
+  ConfigVersion version;
+  std::uint64_t hash = 0;
+
+  friend bool operator==(const PastVersion&, const PastVersion&) = default;
+};
+
 struct ActiveRecord {
   VersionIdentity active;
-  std::vector<VersionIdentity> history;
+  std::vector<PastVersion> history;
 };
 
 struct ProposalRecord {
--- a/src/config/zone_relay.cc
+++ b/src/config/zone_relay.cc
@@ -45,19 +45,22 @@
   timers_.Cancel(timer_);
 }
 
-void ZoneRelay::SetSubject(ConfigVersion version, std::uint64_t hash) {
-  if (version <= version_)
+void ZoneRelay::SetSubject(ConfigVersion version,
+                           std::uint64_t hash,
+                           bool in_force) {
+  if (std::make_pair(version, in_force) <= std::make_pair(version_, in_force_))
     return;
   version_ = version;
   hash_ = hash;
+  in_force_ = in_force;
   subject_since_ = timers_.Now();
   Update();
 }
 
 std::vector<wire::Member> ZoneRelay::Relays() {
-  return membership_.Choose(membership_.self().zone,
-                            "config-relay " + std::to_string(version_.value()),
-                            options_.relays);
+  std::string key = (in_force_ ? "config-in-force " : "config-staged ") +
+                    std::to_string(version_.value());
+  return membership_.Choose(membership_.self().zone, key, options_.relays);
 }
 
 std::size_t ZoneRelay::Rank() {
--- a/src/config/zone_relay.h
+++ b/src/config/zone_relay.h
@@ -40,12 +40,15 @@
             ZoneRelayOptions options = {});
   ~ZoneRelay();
 
-  // The version that the zone's record is about.
-  void SetSubject(ConfigVersion version, std::uint64_t hash);
+  // The version that the zone's record is about, and whether it is known to be
+  // in force. Each of the two phases has relays of its own, so that the
+  // acknowledgements of one change are not all received by the same daemon.
+  void SetSubject(ConfigVersion version, std::uint64_t hash, bool in_force);
   // Something that the record states may have changed.
   void Update();
   // Relays for the version, the first one first.
   std::vector<wire::Member> Relays();
+  bool IsRelay() { return Rank() < options_.relays; }
 
  private:
   ZoneRecord Collect() const;
@@ -63,6 +66,7 @@
   ZoneRelayOptions options_;
   ConfigVersion version_;
   std::uint64_t hash_ = 0;
+  bool in_force_ = false;
   TimePoint subject_since_;
   TimePoint last_write_;
   // What the store holds, as far as is known.
--- a/src/config/zone_watch.cc
+++ b/src/config/zone_watch.cc
@@ -1,14 +1,15 @@
 #include "config/zone_watch.h"
 
+#include <optional>
 #include <utility>
 
 namespace jujubecove {
 namespace {
 
-// Short, because a watch whose reply is lost only ends with its time-out.
-constexpr Duration kWatchTimeout(1'000'000);
-constexpr Duration kPause(20'000);
-constexpr Duration kRetry(200'000);
+// Reads overlap instead of waiting for each other, so that a lost reply costs
+// one interval and not a time-out. With 32 zones this makes 160 reads a second
+// while a change is under way.
+constexpr Duration kReadInterval(200'000);
 
 }  // namespace
 
@@ -26,22 +27,14 @@
 
 void ZoneWatch::Step() {
   std::weak_ptr<bool> alive = alive_;
-  Store::Handler handler = [this, alive](const StoreReply& reply) {
+  store_.Read(key_, [this, alive](const StoreReply& reply) {
     if (!alive.expired())
       OnReply(reply);
-  };
-  if (read_due_)
-    store_.Read(key_, std::move(handler));
-  else
-    store_.Watch(key_, revision_, kWatchTimeout, std::move(handler));
+  });
+  timer_ = timers_.ScheduleAfter(kReadInterval, [this] { Step(); });
 }
 
 void ZoneWatch::OnReply(const StoreReply& reply) {
-  bool answered = reply.status == StoreStatus::kDone ||
-                  reply.status == StoreStatus::kNotFound;
-  read_due_ = reply.status == StoreStatus::kCompacted || !answered;
-  timer_ =
-      timers_.ScheduleAfter(answered ? kPause : kRetry, [this] { Step(); });
   if (reply.status != StoreStatus::kDone || reply.revision <= revision_)
     return;
   revision_ = reply.revision;
--- a/src/config/zone_watch.h
+++ b/src/config/zone_watch.h
@@ -9,9 +9,9 @@
 
 namespace jujubecove {
 
-// Follows the record of one zone for the tool and keeps what it ever said of
-// one version: a daemon that held a version, or had it in force, never loses
-// that again.
+// Reads the record of one zone at a fixed interval for the tool and keeps what
+// it ever said of one version: a daemon that held a version, or had it in
+// force, never loses that again.
 class ZoneWatch {
  public:
   ZoneWatch(TimerService& timers,
@@ -35,7 +35,6 @@
   std::string key_;
   ConfigVersion version_;
   StoreRevision revision_;
-  bool read_due_ = true;
   bool reached_ = false;
   bool all_staged_ = false;
   bool in_force_ = false;
--- a/src/document/document_text.cc
+++ b/src/document/document_text.cc
@@ -6,7 +6,6 @@
 
 #include "base/hash.h"
 #include "document/document_parser.h"
-#include "settings/ini_file.h"
 
 namespace jujubecove {
 namespace {
@@ -69,14 +68,31 @@
   return text;
 }
 
-SectionTable TableOf(const std::string& text) {
-  std::vector<SettingFault> faults;
-  IniFile ini = IniFile::Parse("", text, faults);
+// Takes the next line off the front of `text`.
+std::string_view TakeLine(std::string_view& text) {
+  std::size_t end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  return line;
+}
+
+// Reads a canonical text. The general INI reader takes several times as long,
+// which each daemon would spend on each change.
+SectionTable TableOf(std::string_view text) {
+  constexpr std::string_view kSeparator = " = ";
   SectionTable table;
-  for (const IniSection& section : ini.sections) {
-    SectionValues& values = table[section.heading()];
-    for (const auto& [key, value] : section.values)
-      values[key] = value.text;
+  auto section = table.end();
+  while (!text.empty()) {
+    std::string_view line = TakeLine(text);
+    std::size_t separator = line.find(kSeparator);
+    if (line.starts_with('[') && line.ends_with(']')) {
+      section = table.try_emplace(table.end(),
+                                  std::string(line.substr(1, line.size() - 2)));
+    } else if (section != table.end() && separator != std::string_view::npos) {
+      section->second.insert_or_assign(
+          section->second.end(), std::string(line.substr(0, separator)),
+          std::string(line.substr(separator + kSeparator.size())));
+    }
   }
   return table;
 }
@@ -114,14 +130,6 @@
 constexpr std::string_view kFromPrefix = "from ";
 constexpr std::string_view kToPrefix = "to ";
 
-// Takes the next line off the front of `text`.
-std::string_view TakeLine(std::string_view& text) {
-  std::size_t end = text.find('\n');
-  std::string_view line = text.substr(0, end);
-  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-  return line;
-}
-
 // Applies one line of a delta: "+HEADING" and "-HEADING" add and remove a
 // section, "@HEADING" selects one, "=KEY VALUE" and "!KEY" set and remove a key
 // of the selected section. False when the line does not fit the table.
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -19,6 +19,8 @@
 // One round in this many tries an address that is not known to be live, which
 // is how zones find each other again after a partition.
 constexpr std::uint32_t kLostContactRounds = 4;
+// One with a daemon of this zone and one with a daemon of another.
+constexpr std::uint32_t kExchangesPerRound = 2;
 
 }  // namespace
 
@@ -128,6 +130,7 @@
 
 void Membership::ExchangeWith(const std::string& address,
                               ExchangeHandler handler) {
+  ++sent_since_round_;
   std::weak_ptr<bool> alive = alive_;
   transport_.Exchange(address, MakeMessage(),
                       [this, alive, address, handler = std::move(handler)](
@@ -223,10 +226,16 @@
     JoinRound();
     return;
   }
-  for (const wire::Member& peer : RandomPeers(2, true))
-    ExchangeWith(peer.address, nullptr);
-  for (const wire::Member& peer : RandomPeers(1, false))
-    ExchangeWith(peer.address, nullptr);
+  // Exchanges out of turn, as for a change of the configuration, have done the
+  // work of this round.
+  bool done = sent_since_round_ >= kExchangesPerRound;
+  if (!done) {
+    for (bool same_zone : {true, false}) {
+      for (const wire::Member& peer : RandomPeers(1, same_zone))
+        ExchangeWith(peer.address, nullptr);
+    }
+  }
+  sent_since_round_ = 0;
   if (random_() % kLostContactRounds == 0)
     TryLostContact();
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -60,7 +60,7 @@
 
 // Knows which entry daemons live. The platform's list, which lags, only names
 // addresses to try; evidence from exchanges decides. Each round calls random
-// peers, one or two of this zone and one of another, and carries only changes.
+// peers, one of this zone and one of another, and carries only changes.
 class Membership {
  public:
   using ExchangeHandler = std::function<void(bool answered)>;
@@ -140,6 +140,7 @@
   TimePoint last_sync_;
   bool synced_ = false;
   std::set<std::string> answered_;
+  std::uint32_t sent_since_round_ = 0;
   std::uint64_t notified_revision_ = 0;
   std::uint64_t live_revision_ = 0;
   std::vector<wire::Member> live_;
--- a/tests/standin/config_fleet.cc
+++ b/tests/standin/config_fleet.cc
@@ -117,8 +117,9 @@
 }
 
 ConfigFleet::Operator::Operator(ConfigFleet& fleet)
-    : store(fleet.timers(), fleet.model()),
-      activator(fleet.timers(), store, fleet.zones()) {
+    : timers(fleet.timers()),
+      store(timers, fleet.model()),
+      activator(timers, store, fleet.zones()) {
   store.SetCallTimeout(kStoreTimeout);
 }
 
--- a/tests/standin/config_fleet.h
+++ b/tests/standin/config_fleet.h
@@ -81,6 +81,7 @@
   struct Operator {
     explicit Operator(ConfigFleet& fleet);
     void Apply(const std::string& text);
+    NodeTimers timers;
     FakeStore store;
     Activator activator;
     std::vector<ApplyReport> reports;
--- a/tests/standin/fake_store.cc
+++ b/tests/standin/fake_store.cc
@@ -4,6 +4,12 @@
 #include <vector>
 
 namespace jujubecove {
+namespace {
+
+// Status line, headers, JSON around the value, and packet headers of a reply.
+constexpr std::uint64_t kReplyOverheadBytes = 250;
+
+}  // namespace
 
 FakeStore::FakeStore(TimerService& timers, StoreModel& model)
     : timers_(timers), model_(model) {
@@ -56,7 +62,10 @@
   Start(
       StoreCall::kRead,
       [this, key, handler] {
-        return [reply = model_.Read(key), handler] { handler(reply); };
+        return [this, reply = model_.Read(key), handler] {
+          received_bytes_ += reply.value.size() + kReplyOverheadBytes;
+          handler(reply);
+        };
       },
       [handler](bool) { handler(StoreReply{StoreStatus::kUnavailable}); });
 }
@@ -68,7 +77,9 @@
   Start(
       StoreCall::kWrite,
       [this, key, expected, value = std::move(value), handler] {
-        return [reply = model_.CompareAndSwap(key, expected, value), handler] {
+        return [this, reply = model_.CompareAndSwap(key, expected, value),
+                handler] {
+          received_bytes_ += kReplyOverheadBytes;
           handler(reply);
         };
       },
@@ -143,6 +154,7 @@
   timers_.Cancel(waiter.timer);
   After(waiter.half_latency,
         [this, reply = std::move(reply), handler = std::move(waiter.handler)] {
+          received_bytes_ += reply.value.size() + kReplyOverheadBytes;
           handler(reachable_ ? reply : StoreReply{StoreStatus::kUnavailable});
         });
 }
--- a/tests/standin/fake_store.h
+++ b/tests/standin/fake_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,6 +24,8 @@
   // replies that are under way are lost.
   void SetReachable(bool reachable) { reachable_ = reachable; }
   void SetCallTimeout(Duration timeout) { call_timeout_ = timeout; }
+  // Bytes of the replies that this client received, HTTP included.
+  std::uint64_t received_bytes() const { return received_bytes_; }
 
   void Read(const std::string& key, Handler handler) override;
   void CompareAndSwap(const std::string& key,
@@ -67,6 +70,7 @@
   StoreModel& model_;
   std::uint64_t listener_ = 0;
   bool reachable_ = true;
+  std::uint64_t received_bytes_ = 0;
   Duration call_timeout_{2'000'000};
   std::uint64_t next_waiter_ = 1;
   std::map<std::uint64_t, Waiter> waiters_;
