--- a/tests/standin/fake_peer_network.cc
+++ b/tests/standin/fake_peer_network.cc
@@ -95,18 +95,21 @@
       handler(PeerResult<Reply>{PeerStatus::kUnknown, {}});
   });
   std::string node_zone = node->zone;
+  FakePeerNetwork::Node* self = network_.Find(address_);
+  std::uint64_t own_life = self == nullptr ? 0 : self->life;
   if (!network_.Connected(zone_, node_zone) || network_.Lost())
     return;
   network_.Count(address, call_bytes);
   node->timers->ScheduleAfter(
-      network_.latency_, [=, this, life = node->life, &network = network_,
+      network_.latency_, [=, life = node->life, &network = network_,
                           &timers = timers_, caller = address_, zone = zone_] {
         FakePeerNetwork::Node* target = network.Find(address);
         if (target == nullptr || target->life != life)
           return;
         Reply reply = serve(*target->handler);
+        FakePeerNetwork::Node* back = network.Find(caller);
         if (!network.Connected(zone, node_zone) || network.Lost() ||
-            network.Find(caller) == nullptr)
+            back == nullptr || back->life != own_life)
           return;
         network.Count(caller, network.counting_ ? reply_bytes(reply) : 0);
         timers.ScheduleAfter(network.latency_, [ended, handler, reply] {
--- a/tests/standin/node_timers.h
+++ b/tests/standin/node_timers.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include <deque>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "kernel/timer_service.h"
 
@@ -18,38 +20,64 @@
 
   TimePoint Now() const override { return shared_.Now(); }
   TimerId ScheduleAt(TimePoint when, std::function<void()> callback) override {
-    std::weak_ptr<bool> alive = alive_;
-    return shared_.ScheduleAt(
-        when, [this, alive, callback = std::move(callback)]() mutable {
-          if (alive.expired())
-            return;
-          if (paused_)
-            overdue_.push_back(std::move(callback));
-          else
-            callback();
-        });
+    std::uint64_t id = next_id_++;
+    Entry& entry = entries_[id];
+    entry.callback = std::move(callback);
+    entry.shared_id = shared_.ScheduleAt(when, Firing(id));
+    return TimerId(id);
+  }
+  // Also cancels what fell due while paused and has not run yet.
+  void Cancel(TimerId id) override {
+    auto it = entries_.find(id.value());
+    if (it == entries_.end())
+      return;
+    shared_.Cancel(it->second.shared_id);
+    entries_.erase(it);
   }
-  void Cancel(TimerId id) override { shared_.Cancel(id); }
 
   void Pause() { paused_ = true; }
   void Resume() {
     paused_ = false;
-    std::deque<std::function<void()>> overdue = std::move(overdue_);
-    overdue_.clear();
-    for (std::function<void()>& callback : overdue)
-      shared_.ScheduleAfter(Duration(),
-                            [this, alive = std::weak_ptr<bool>(alive_),
-                             callback = std::move(callback)] {
-                              if (!alive.expired())
-                                callback();
-                            });
+    for (std::uint64_t id : std::exchange(overdue_, {})) {
+      auto it = entries_.find(id);
+      if (it != entries_.end())
+        it->second.shared_id = shared_.ScheduleAfter(Duration(), Firing(id));
+    }
   }
   bool paused() const { return paused_; }
 
  private:
+  struct Entry {
+    std::function<void()> callback;
+    TimerId shared_id;
+  };
+
+  std::function<void()> Firing(std::uint64_t id) {
+    std::weak_ptr<bool> alive = alive_;
+    return [this, alive, id] {
+      if (!alive.expired())
+        Fire(id);
+    };
+  }
+
+  void Fire(std::uint64_t id) {
+    if (paused_) {
+      overdue_.push_back(id);
+      return;
+    }
+    auto it = entries_.find(id);
+    if (it == entries_.end())
+      return;
+    std::function<void()> callback = std::move(it->second.callback);
+    entries_.erase(it);
+    callback();
+  }
+
   TimerService& shared_;
   bool paused_ = false;
-  std::deque<std::function<void()>> overdue_;
+  std::uint64_t next_id_ = 1;
+  std::map<std::uint64_t, Entry> entries_;
+  std::vector<std::uint64_t> overdue_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
