--- a/tests/unit/config/config_scenario_test.cc
+++ b/tests/unit/config/config_scenario_test.cc
@@ -136,6 +136,44 @@
   }
 }
 
+// Guards against a claim in either direction when the tool loses the store
+// right after the activation was sent.
+TEST(ConfigScenarioTest, UnresolvedActivationIsReportedAsUnknown) {
+  ConfigFleet fleet(8, 3, 4);
+  ASSERT_EQ(fleet.Apply(SampleDocument(3, 100)).outcome,
+            ApplyOutcome::kInForce);
+  ConfigFleet::Operator tool(fleet);
+  fleet.model().AddListener([&tool](const std::string& key) {
+    if (key == kActiveKey)
+      tool.store.SetReachable(false);
+  });
+  tool.Apply(SampleDocument(3, 200));
+  ASSERT_TRUE(
+      fleet.RunUntil([&] { return !tool.reports.empty(); }, kSecond * 120));
+  EXPECT_EQ(tool.reports[0].outcome, ApplyOutcome::kUnknown);
+  EXPECT_TRUE(fleet.AllAt(tool.reports[0].version));
+}
+
+// Guards against a tool that was paused before its activation overwriting a
+// change that was made meanwhile.
+TEST(ConfigScenarioTest, PausedOperatorDoesNotUndoALaterChange) {
+  ConfigFleet fleet(9, 3, 4);
+  ASSERT_EQ(fleet.Apply(SampleDocument(3, 100)).outcome,
+            ApplyOutcome::kInForce);
+  ConfigFleet::Operator paused(fleet);
+  paused.Apply(SampleDocument(3, 200));
+  fleet.Run(kSecond / 200);
+  paused.timers.Pause();
+  ApplyReport later = fleet.Apply(SampleDocument(3, 300));
+  EXPECT_EQ(later.outcome, ApplyOutcome::kInForce) << later.reason;
+  paused.timers.Resume();
+  ASSERT_TRUE(
+      fleet.RunUntil([&] { return !paused.reports.empty(); }, kSecond * 120));
+  EXPECT_EQ(paused.reports[0].outcome, ApplyOutcome::kNowhere);
+  EXPECT_TRUE(paused.reports[0].conflict);
+  EXPECT_EQ(fleet.node(0).agent().active_version(), later.version);
+}
+
 // Guards against an invalid document being activated: a daemon of another
 // release may refuse what the tool accepts.
 TEST(ConfigScenarioTest, RejectedDocumentIsInForceNowhere) {
