--- a/src/document/document_parser.cc
+++ b/src/document/document_parser.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "document/document_settings.h"
 #include "document/document_text.h"
 #include "settings/ini_file.h"
 #include "settings/setting_codec.h"
--- a/src/document/document_parser.h
+++ b/src/document/document_parser.h
@@ -1,12 +1,10 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "document/document.h"
-#include "settings/setting.h"
 #include "settings/setting_fault.h"
 
 namespace jujubecove {
@@ -15,38 +13,6 @@
 // store holds.
 inline constexpr std::size_t kMaxDocumentBytes = 1024UL * 1024;
 
-enum class MergeOrder : std::uint8_t { kAscending, kDescending };
-
-// The declarations of all keys of [kind NAME] sections.
-struct KindSettings {
-  Setting<std::string> service;
-  Setting<Urgency> urgency;
-  Setting<Duration> deadline;
-  Setting<double> least_coverage;
-  Setting<bool> partial;
-  Setting<bool> snapshot;
-  Setting<bool> idempotent;
-  Setting<bool> hedge;
-  Setting<Addressing> addressing;
-  Setting<MergeRule> merge;
-  Setting<std::string> merge_key;
-  Setting<MergeOrder> merge_order;
-  Setting<std::uint32_t> merge_limit;
-};
-
-// The declarations of all keys of [service NAME] sections.
-struct ServiceSettings {
-  Setting<std::uint32_t> shards;
-  Setting<std::uint32_t> replicas;
-  Setting<std::uint32_t> slots;
-  Setting<std::uint32_t> connections;
-  Setting<Duration> connect_cost;
-  Setting<Duration> expected_latency;
-};
-
-const KindSettings& DeclaredKindSettings();
-const ServiceSettings& DeclaredServiceSettings();
-
 struct ParsedDocument {
   // Complete only if there are no faults. Its version is left at zero.
   Document document;
--- a/src/document/document_text.cc
+++ b/src/document/document_text.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "base/hash.h"
-#include "document/document_parser.h"
+#include "document/document_settings.h"
 
 namespace jujubecove {
 namespace {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -34,6 +34,9 @@
   Duration settle_time{5'000'000};
   // Distinct peers that have to answer a joining daemon, if there are as many.
   std::size_t join_answers = 16;
+  // Calls in a row that have to fail before a member is suspected: a single
+  // reply can be lost.
+  std::uint32_t failures_to_suspect = 2;
   std::size_t max_changes = 16;
   std::size_t page_size = 256;
 };
