Render answers as docs/interfaces.md describes them

Cause: the page says that coverage is absent while no map is known, that errors have empty results, and that a refusal of a foreign ticket is outcome_unknown; the renderer wrote null for the first two and kept the error's name in the third. The router marks a choice of an outlier as a probe. Change: the renderer follows the page; a probed shard is hedged without waiting for the hedge delay once most shards have answered.

--- a/src/gather/answer_json.cc
+++ b/src/gather/answer_json.cc
@@ -74,11 +74,9 @@
 }
 
 void AppendCoverage(std::string& out, const Coverage& coverage) {
-  if (coverage.shards().empty()) {
-    out.append("null");
+  if (coverage.shards().empty())
     return;
-  }
-  out.append("{\"shard_map\":");
+  out.append(",\"coverage\":{\"shard_map\":");
   AppendNumber(out, coverage.map_version().value());
   out.append(",\"covered_share\":");
   AppendShare(out, coverage.covered_share());
@@ -130,7 +128,7 @@
   out.append(StatusOf(answer));
   out.append("\",\"execution\":\"");
   out.append(NameOf(answer.execution));
-  out.append("\",\"coverage\":");
+  out.push_back('"');
   AppendCoverage(out, answer.coverage);
   out.append(",\"index_version\":");
   if (answer.index_version)
@@ -144,7 +142,7 @@
   out.append(",\"detail\":");
   AppendJsonString(out, answer.detail);
   out.append(",\"results\":");
-  out.append(answer.results.empty() ? "null" : answer.results);
+  out.append(answer.results.empty() ? "[]" : answer.results);
   out.push_back('}');
   return rendered;
 }
@@ -162,9 +160,13 @@
 RenderedAnswer RenderUnprovenRefusal(ErrorKind error,
                                      const std::string& idempotency_key,
                                      std::string_view detail) {
-  Execution execution =
-      idempotency_key.empty() ? AnswerOf(error).execution : Execution::kUnknown;
-  return RenderRefusal(error, execution, detail);
+  Execution execution = AnswerOf(error).execution;
+  if (idempotency_key.empty() || execution == Execution::kUnknown)
+    return RenderRefusal(error, execution, detail);
+  std::string text(NameOf(error));
+  if (!detail.empty())
+    text.append(": ").append(detail);
+  return RenderRefusal(ErrorKind::kOutcomeUnknown, Execution::kUnknown, text);
 }
 
 }  // namespace jujubecove
--- a/src/gather/answer_json.h
+++ b/src/gather/answer_json.h
@@ -9,18 +9,17 @@
 
 namespace jujubecove {
 
-// The JSON form of an answer. `coverage` is null while no shard map is known,
-// and `results` is null in a refusal, so that no refusal can be taken for an
-// answer without records.
+// The JSON form of an answer, as docs/interfaces.md describes it. `coverage` is
+// absent while no shard map is known.
 RenderedAnswer RenderAnswer(const QueryAnswer& answer);
 
 // A refusal that no engine was asked about.
 RenderedAnswer RenderRefusal(ErrorKind error,
                              Execution execution,
                              std::string_view detail);
-// A refusal by a daemon that can't tell whether the request ran elsewhere: with
-// any idempotency key, "not run" becomes "unknown", because only the owner of a
-// ticket may say so.
+// A refusal by code that can't tell whether the request ran elsewhere: with any
+// idempotency key, a refusal as "not run" becomes kOutcomeUnknown, because only
+// the owner of a ticket may say so.
 RenderedAnswer RenderUnprovenRefusal(ErrorKind error,
                                      const std::string& idempotency_key,
                                      std::string_view detail);
--- a/src/gather/fan_out.cc
+++ b/src/gather/fan_out.cc
@@ -136,6 +136,7 @@
   bool lost_version = all_tried && state.lost_version;
   switch (choice.status) {
     case ChoiceStatus::kChosen:
+      state.probing = choice.probe;
       sender_.Send(run, shard, choice.searcher, false);
       return true;
     case ChoiceStatus::kAllBusy:
--- a/src/gather/hedger.cc
+++ b/src/gather/hedger.cc
@@ -20,6 +20,12 @@
 Hedger::Hedger(GatherContext& context, AttemptSender& sender)
     : context_(context), sender_(sender) {}
 
+// A shard that was risked on an outlier need not wait.
+TimePoint Hedger::DueTime(const ShardRun& shard, Duration delay) {
+  TimePoint due = shard.probing ? shard.sent_at : shard.sent_at + delay;
+  return std::max(due, shard.next_hedge);
+}
+
 bool Hedger::IsCandidate(const ShardRun& shard) const {
   return shard.phase == ShardPhase::kInFlight && shard.open_count() == 1 &&
          shard.attempts < context_.options.max_attempts;
@@ -41,7 +47,7 @@
   TimePoint due = run->cutoff;
   for (const ShardRun& shard : run->shards) {
     if (IsCandidate(shard))
-      due = std::min(due, std::max(shard.sent_at + *delay, shard.next_hedge));
+      due = std::min(due, DueTime(shard, *delay));
   }
   if (due >= run->cutoff)
     return;
@@ -62,8 +68,7 @@
     return;
   for (std::size_t n = 0; n < run->shards.size(); ++n) {
     ShardRun& shard = run->shards[n];
-    bool is_due = IsCandidate(shard) && shard.sent_at + *delay <= now &&
-                  shard.next_hedge <= now;
+    bool is_due = IsCandidate(shard) && DueTime(shard, *delay) <= now;
     if (is_due && !TryHedge(run, n))
       shard.next_hedge = now + std::max(*delay, context_.options.first_delay);
   }
--- a/src/gather/hedger.h
+++ b/src/gather/hedger.h
@@ -18,6 +18,7 @@
   void OnProgress(const QueryRunPtr& run);
 
  private:
+  static TimePoint DueTime(const ShardRun& shard, Duration delay);
   bool IsCandidate(const ShardRun& shard) const;
   void Arm(const QueryRunPtr& run);
   void Fire(const QueryRunPtr& run);
--- a/src/gather/query_run.h
+++ b/src/gather/query_run.h
@@ -44,6 +44,8 @@
   bool owes_token = false;
   // The last failure was that a replica could not serve the version.
   bool lost_version = false;
+  // The first attempt went to an outlier that is tried again.
+  bool probing = false;
   // Counted once for the feedback to admission.
   bool has_waited = false;
   // The cause if this ends as a gap now.
