--- a/src/gather/answer_builder.cc
+++ b/src/gather/answer_builder.cc
@@ -54,7 +54,7 @@
   answer.id = run.request.id;
   if (run.document)
     answer.config_version = run.document->version;
-  answer.trace_id = FormatTraceId(run.trace.trace);
+  answer.trace_id = run.trace.TraceIdText();
   answer.detail = run.detail;
   bool was_sent = run.map != nullptr && !run.shards.empty() && !run.error;
   if (was_sent && MeetsDemands(run)) {
--- a/src/gather/attempt_sender.cc
+++ b/src/gather/attempt_sender.cc
@@ -22,7 +22,7 @@
 UpstreamRequest AttemptSender::MakeRequest(const QueryRun& run,
                                            std::size_t shard,
                                            const SearcherId& searcher,
-                                           std::uint64_t span) {
+                                           const SpanId& span) {
   UpstreamRequest request;
   request.attempt = AttemptId(++last_attempt_);
   request.request = run.request.id;
@@ -36,8 +36,7 @@
   // Searchers take a request with a key for one that has an effect.
   if (!request.idempotent)
     request.idempotency_key = run.request.idempotency_key;
-  request.traceparent =
-      FormatTraceparent(TraceContext{run.trace.trace, span, run.trace.sampled});
+  request.traceparent = WithSpan(run.traceparent, span);
   request.body = run.body;
   return request;
 }
@@ -47,7 +46,7 @@
                          const SearcherId& searcher,
                          bool is_hedge) {
   ShardRun& state = run->shards[shard];
-  std::uint64_t span = context_.random();
+  SpanId span = DrawSpanId(context_.random);
   UpstreamRequest request = MakeRequest(*run, shard, searcher, span);
   TimePoint now = context_.timers.Now();
   bool is_first = run->restarts == 0 && state.attempts == 0;
@@ -79,11 +78,11 @@
 
 void AttemptSender::Trace(const OpenAttempt& attempt,
                           const UpstreamReply& reply) {
-  if (attempt.run->query_span == 0)
+  if (!attempt.run->traced)
     return;
   SpanRecord record;
-  record.trace = attempt.run->trace.trace;
-  record.span = attempt.span;
+  record.context = attempt.run->trace;
+  record.context.span_id = attempt.span;
   record.parent = attempt.run->query_span;
   record.name = "attempt";
   record.start = attempt.sent_at;
--- a/src/gather/attempt_sender.h
+++ b/src/gather/attempt_sender.h
@@ -20,7 +20,7 @@
   // The map at the time of sending, for the wait list.
   WaitGroup group;
   SearcherId searcher;
-  std::uint64_t span = 0;
+  SpanId span{};
   TimePoint sent_at;
   bool is_hedge = false;
 
@@ -49,7 +49,7 @@
   UpstreamRequest MakeRequest(const QueryRun& run,
                               std::size_t shard,
                               const SearcherId& searcher,
-                              std::uint64_t span);
+                              const SpanId& span);
 
   GatherContext& context_;
   std::uint64_t last_attempt_ = 0;
--- a/src/gather/query_engine_impl.cc
+++ b/src/gather/query_engine_impl.cc
@@ -58,10 +58,7 @@
   run->handler = std::move(handler);
   run->document = document_;
   run->submitted = context_.timers.Now();
-  run->trace = ParseTraceparent(run->request.traceparent, context_.random);
-  if (context_.trace != nullptr &&
-      context_.trace->Wants(run->trace.trace, run->trace.sampled))
-    run->query_span = context_.random() | 1U;
+  SetTrace(*run);
   if (!document_) {
     run->error = ErrorKind::kNotReady;
     return run;
@@ -123,10 +120,7 @@
     ready_.pop_front();
     if (run->finished)
       continue;
-    if (run->query_span != 0) {
-      TraceSpan(*run, "queue", context_.random() | 1U, run->query_span,
-                run->submitted, "admitted");
-    }
+    TraceQueue(*run);
     if (context_.timers.Now() >= run->cutoff)
       Refuse(run, ErrorKind::kDeadlineUnmeetable);
     else
@@ -199,28 +193,52 @@
     admission_.Finished(run->request.id, feedback);
   }
   QueryAnswer answer = BuildAnswer(*run);
-  if (run->query_span != 0) {
-    TraceSpan(*run, "query", run->query_span, run->trace.span, run->submitted,
-              answer.error ? NameOf(*answer.error) : "answered");
-  }
+  TraceAnswer(*run, answer);
   // Replies of cancelled attempts may keep the run for a while.
   run->merger.reset();
   AnswerHandler handler = std::move(run->handler);
   handler(std::move(answer));
 }
 
-void QueryEngineImpl::TraceSpan(const QueryRun& run,
-                                std::string_view name,
-                                std::uint64_t span,
-                                std::uint64_t parent,
-                                TimePoint start,
-                                std::string_view status) {
+void QueryEngineImpl::SetTrace(QueryRun& run) {
+  run.trace = ContextOf(run.request.traceparent, context_.random);
+  run.query_span = DrawSpanId(context_.random);
+  TraceContext own = run.trace;
+  own.span_id = run.query_span;
+  run.traceparent = own.ToTraceparent();
+  run.traced = context_.trace != nullptr && context_.trace->Wants(run.trace);
+}
+
+void QueryEngineImpl::TraceQueue(const QueryRun& run) {
+  if (!run.traced)
+    return;
+  SpanRecord record;
+  record.context.span_id = DrawSpanId(context_.random);
+  record.parent = run.query_span;
+  record.name = "queue";
+  record.start = run.submitted;
+  Emit(run, std::move(record), "admitted");
+}
+
+void QueryEngineImpl::TraceAnswer(const QueryRun& run,
+                                  const QueryAnswer& answer) {
+  if (!run.traced)
+    return;
   SpanRecord record;
-  record.trace = run.trace.trace;
-  record.span = span;
-  record.parent = parent;
-  record.name = name;
-  record.start = start;
+  record.context.span_id = run.query_span;
+  if (run.trace.span_id != SpanId{})
+    record.parent = run.trace.span_id;
+  record.name = "query";
+  record.start = run.submitted;
+  Emit(run, std::move(record),
+       answer.error ? NameOf(*answer.error) : std::string_view("answered"));
+}
+
+void QueryEngineImpl::Emit(const QueryRun& run,
+                           SpanRecord record,
+                           std::string_view status) {
+  record.context.trace_id = run.trace.trace_id;
+  record.context.sampled = run.trace.sampled;
   record.end = context_.timers.Now();
   record.attributes = {{"kind", run.request.kind.value()},
                        {"caller", run.request.caller.value()},
--- a/src/gather/query_engine_impl.h
+++ b/src/gather/query_engine_impl.h
@@ -52,12 +52,10 @@
   void OnCutoff(const QueryRunPtr& run);
   void StartAdmitted();
   void Finish(const QueryRunPtr& run);
-  void TraceSpan(const QueryRun& run,
-                 std::string_view name,
-                 std::uint64_t span,
-                 std::uint64_t parent,
-                 TimePoint start,
-                 std::string_view status);
+  void SetTrace(QueryRun& run);
+  void TraceQueue(const QueryRun& run);
+  void TraceAnswer(const QueryRun& run, const QueryAnswer& answer);
+  void Emit(const QueryRun& run, SpanRecord record, std::string_view status);
 
   AdmissionQueue& admission_;
   GatherContext context_;
--- a/src/gather/query_run.h
+++ b/src/gather/query_run.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/ids.h"
@@ -12,7 +13,7 @@
 #include "document/document.h"
 #include "gather/merger.h"
 #include "gather/query.h"
-#include "gather/trace_context.h"
+#include "gather/trace_sink.h"
 #include "gather/wait_list.h"
 #include "kernel/timer_service.h"
 #include "routing/router.h"
@@ -79,9 +80,13 @@
   std::shared_ptr<const Document> document;
   const KindSpec* spec = nullptr;
   ServiceWaits* service = nullptr;
+  // The caller's context; its span id is zero for a new trace.
   TraceContext trace;
-  // Zero unless the trace is wanted by the sink.
-  std::uint64_t query_span = 0;
+  // The header value for the query's own span.
+  std::string traceparent;
+  SpanId query_span{};
+  // Spans of this query go to the sink.
+  bool traced = false;
   TimePoint submitted;
   TimePoint admitted_at;
   // No attempt is sent after it; the answer is made then at the latest.
--- /dev/null
+++ b/src/gather/trace_sink.cc
@@ -0,0 +1,71 @@
+#include "gather/trace_sink.h"
+
+#include <cstddef>
+
+#include "telemetry/span.h"
+#include "telemetry/telemetry_port.h"
+
+namespace jujubecove {
+namespace {
+
+constexpr std::size_t kSpanIdAt = 36;
+
+template <std::size_t N>
+void Fill(RandomEngine& random, std::array<std::uint8_t, N>& bytes) {
+  for (std::size_t n = 0; n < N; n += sizeof(std::uint64_t)) {
+    std::uint64_t value = random() | 1U;
+    for (std::size_t k = 0; k < sizeof(value); ++k)
+      bytes[n + k] = static_cast<std::uint8_t>(value >> (8 * k));
+  }
+}
+
+}  // namespace
+
+bool TelemetryTraceSink::Wants(const TraceContext& context) const {
+  return context.sampled && ThisThreadTelemetryPort() != nullptr;
+}
+
+void TelemetryTraceSink::Emit(SpanRecord record) {
+  TelemetryPort* port = ThisThreadTelemetryPort();
+  if (port == nullptr)
+    return;
+  Span span;
+  span.context = record.context;
+  span.parent_span_id = record.parent;
+  span.name = std::string(record.name);
+  span.start_unix_us =
+      (record.start.time_since_epoch() + unix_epoch_offset_).count();
+  span.end_unix_us =
+      (record.end.time_since_epoch() + unix_epoch_offset_).count();
+  for (std::pair<std::string_view, std::string>& it : record.attributes)
+    span.attributes.emplace_back(std::string(it.first), std::move(it.second));
+  port->WriteSpan(std::move(span));
+}
+
+SpanId DrawSpanId(RandomEngine& random) {
+  SpanId id{};
+  Fill(random, id);
+  return id;
+}
+
+TraceContext ContextOf(std::string_view traceparent, RandomEngine& random) {
+  std::optional<TraceContext> parsed = TraceContext::Parse(traceparent);
+  if (parsed)
+    return *parsed;
+  TraceContext context;
+  Fill(random, context.trace_id);
+  return context;
+}
+
+std::string WithSpan(std::string_view traceparent, const SpanId& span) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string out(traceparent);
+  std::size_t at = kSpanIdAt;
+  for (std::uint8_t byte : span) {
+    out[at++] = kDigits[byte >> 4U];
+    out[at++] = kDigits[byte & 15U];
+  }
+  return out;
+}
+
+}  // namespace jujubecove
--- a/src/gather/trace_sink.h
+++ b/src/gather/trace_sink.h
@@ -1,29 +1,25 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "base/random.h"
 #include "base/units.h"
+#include "telemetry/trace_context.h"
 
 namespace jujubecove {
 
-// The 128-bit trace id of W3C Trace Context.
-struct TraceId {
-  std::uint64_t high = 0;
-  std::uint64_t low = 0;
-
-  friend bool operator==(const TraceId&, const TraceId&) = default;
-};
+using SpanId = std::array<std::uint8_t, 8>;
 
 // One finished span. Names and attribute keys are string literals.
 struct SpanRecord {
-  TraceId trace;
-  std::uint64_t span = 0;
-  // Zero for the first span of a trace.
-  std::uint64_t parent = 0;
+  TraceContext context;
+  std::optional<SpanId> parent;
   std::string_view name;
   TimePoint start;
   TimePoint end;
@@ -35,9 +31,33 @@
  public:
   virtual ~TraceSink() = default;
 
-  // Whether the spans of this trace are wanted. `sampled` is the caller's flag.
-  virtual bool Wants(const TraceId& trace, bool sampled) const = 0;
+  // Whether the spans of this trace are wanted.
+  virtual bool Wants(const TraceContext& context) const = 0;
   virtual void Emit(SpanRecord record) = 0;
 };
 
+// Hands the spans of sampled traces to the thread's TelemetryPort.
+class TelemetryTraceSink : public TraceSink {
+ public:
+  // `unix_epoch_offset` is added to times of the thread's timer service.
+  explicit TelemetryTraceSink(Duration unix_epoch_offset)
+      : unix_epoch_offset_(unix_epoch_offset) {}
+
+  bool Wants(const TraceContext& context) const override;
+  void Emit(SpanRecord record) override;
+
+ private:
+  Duration unix_epoch_offset_;
+};
+
+// A span id that is not zero, as the specification demands.
+SpanId DrawSpanId(RandomEngine& random);
+// The context of a header value; a new unsampled trace without a span when it
+// is absent or malformed.
+TraceContext ContextOf(std::string_view traceparent, RandomEngine& random);
+// The header value for another span of the same trace. `traceparent` is the
+// value for one span of it; formatting the trace id again costs more than the
+// rest of the value.
+std::string WithSpan(std::string_view traceparent, const SpanId& span);
+
 }  // namespace jujubecove
--- a/tests/unit/gather/query_engine_test.cc
+++ b/tests/unit/gather/query_engine_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/unit/gather/gather_fixture.h"
 
@@ -264,5 +266,42 @@
   EXPECT_FALSE(Only().error);
 }
 
+class RecordingSink : public TraceSink {
+ public:
+  bool Wants(const TraceContext& context) const override {
+    return context.sampled;
+  }
+  void Emit(SpanRecord record) override {
+    records.push_back(std::move(record));
+  }
+
+  std::vector<SpanRecord> records;
+};
+
+// Guards against spans that are lost from the caller's trace.
+TEST_F(GatherTest, EmitsASpanForEachHop) {
+  RecordingSink sink;
+  QueryEngineImpl engine(
+      EngineParts{timers_, router_, admission_, transport_, &sink},
+      EngineOptions(), 1);
+  engine.SetDocument(document_);
+  QueryRequest request;
+  request.kind = KindName("record");
+  request.key = "a";
+  request.traceparent =
+      "00-0123456789abcdef0123456789abcdef-00000000000000ff-01";
+  engine.Submit(request, [](const QueryAnswer& answer) {
+    EXPECT_EQ(answer.trace_id, "0123456789abcdef0123456789abcdef");
+  });
+  Answer(0);
+  ASSERT_EQ(sink.records.size(), 3U);
+  const SpanRecord& query = sink.records[2];
+  EXPECT_EQ(query.parent, (SpanId{0, 0, 0, 0, 0, 0, 0, 0xff}));
+  EXPECT_EQ(sink.records[0].name, "queue");
+  const SpanRecord& attempt = sink.records[1];
+  EXPECT_EQ(attempt.parent, query.context.span_id);
+  EXPECT_EQ(Sent(0).traceparent, attempt.context.ToTraceparent());
+}
+
 }  // namespace
 }  // namespace jujubecove
