--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,287 @@
+#include "daemon/daemon.h"
+
+#include <signal.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/system/system_error.hpp>
+#include <chrono>
+#include <future>
+#include <utility>
+
+#include "base/random.h"
+#include "daemon/exit_code.h"
+#include "telemetry/log.h"
+
+namespace jujubecove {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Names in the registry.
+constexpr char kTelemetryWriter[] = "telemetry.writer";
+constexpr char kTracer[] = "frontend.tracer";
+constexpr char kBridge[] = "frontend.bridge";
+constexpr char kFrontend[] = "frontend";
+constexpr char kUpstream[] = "upstream";
+constexpr char kUpstreamChannel[] = "upstream.channel";
+constexpr char kForwarder[] = "peer.forwarder";
+constexpr char kQuery[] = "query";
+constexpr char kControl[] = "control";
+
+constexpr std::size_t kForwardedRequests = 4'096;
+constexpr std::size_t kStateMessages = 64;
+constexpr Duration kFinishCheckInterval = std::chrono::milliseconds(10);
+
+Duration EpochOffset() {
+  boost::asio::io_context context;
+  AsioTimerService timers(context);
+  return UnixEpochOffset(std::chrono::system_clock::now(), timers.Now());
+}
+
+tcp::endpoint EndpointOf(const SocketAddress& address) {
+  return tcp::endpoint(boost::asio::ip::make_address(address.ip), address.port);
+}
+
+}  // namespace
+
+Daemon::Daemon(const DaemonConfig& config, std::string version)
+    : config_(config),
+      version_(std::move(version)),
+      incarnation_(SystemSeed()),
+      main_timers_(main_context_),
+      signals_(main_context_, SIGTERM, SIGINT) {}
+
+Daemon::~Daemon() {
+  StopThreads();
+}
+
+Result<void> Daemon::Start(std::shared_ptr<const Document> document) {
+  SetLogFormat(config_.log_format);
+  for (int n = 0; n < kLogCategoryCount; ++n)
+    SetLogLevel(static_cast<LogCategory>(n), config_.log_levels[n]);
+  try {
+    PublishParts();
+    if (!registry_.Find<TelemetryWriter>(kTelemetryWriter).good())
+      return Error{ErrorKind::kInternal,
+                   "can't write spans to " + config_.trace_path};
+    PublishSides();
+    Connect(std::move(document));
+  } catch (const boost::system::system_error& error) {
+    return Error{ErrorKind::kInternal, "can't listen on " +
+                                           config_.listen_peers.ToString() +
+                                           ": " + error.what()};
+  }
+  Result<void> listening = Listen();
+  if (!listening)
+    return listening;
+  StartThreads();
+  JJ_LOG(kDaemon, INFO) << "jujubecoved " << version_ << " of zone "
+                        << config_.zone << " serves callers on "
+                        << config_.listen_callers.ToString();
+  return boost::outcome_v2::success();
+}
+
+void Daemon::PublishParts() {
+  registry_.Publish(kTelemetryWriter,
+                    std::make_shared<TelemetryWriter>(
+                        telemetry_.context(), metrics_,
+                        SpanResource{config_.zone.value(), config_.vm.value()},
+                        config_.trace_path));
+  registry_.Publish(kTracer,
+                    std::make_shared<Tracer>(SystemSeed(), config_.trace_share,
+                                             EpochOffset()));
+  registry_.Publish(kBridge, std::make_shared<FrontendBridge>(
+                                 frontend_.context(), query_.context(),
+                                 config_.frontend, metrics_));
+  registry_.Publish(kFrontend, std::make_shared<Frontend>(
+                                   frontend_.context(), frontend_.timers(),
+                                   registry_.Find<FrontendBridge>(kBridge),
+                                   registry_.Find<Tracer>(kTracer), metrics_,
+                                   config_.frontend,
+                                   FrontendIdentity{version_, config_.zone}));
+  registry_.Publish(kUpstream,
+                    std::make_shared<UpstreamSide>(upstream_, incarnation_,
+                                                   SystemSeed(), metrics_));
+  registry_.Publish(kUpstreamChannel,
+                    std::make_shared<UpstreamChannel>(
+                        query_.context(), upstream_.context(),
+                        registry_.Find<UpstreamSide>(kUpstream).transport(),
+                        config_.outstanding_attempts));
+  registry_.Publish(kForwarder, std::make_shared<PeerForwarder>(
+                                    query_, control_, kForwardedRequests));
+}
+
+void Daemon::PublishSides() {
+  QuerySideOptions options;
+  options.seed = SystemSeed();
+  options.unix_epoch_offset = EpochOffset();
+  options.baseline = config_.baseline;
+  options.tickets.peer_address = config_.listen_peers.ToString();
+  options.tickets.incarnation = incarnation_;
+  options.tickets.secret = DrawTicketSecret();
+  PeerForwarder& forwarder = registry_.Find<PeerForwarder>(kForwarder);
+  registry_.Publish(
+      kQuery,
+      std::make_shared<QuerySide>(
+          query_.timers(), registry_.Find<UpstreamChannel>(kUpstreamChannel),
+          forwarder, metrics_, options));
+  registry_.Publish(kControl,
+                    std::make_shared<ControlSide>(
+                        control_, query_, registry_.Find<QuerySide>(kQuery),
+                        forwarder, config_, incarnation_, metrics_));
+}
+
+void Daemon::Connect(std::shared_ptr<const Document> document) {
+  QuerySide& query = registry_.Find<QuerySide>(kQuery);
+  Frontend& frontend = registry_.Find<Frontend>(kFrontend);
+  UpstreamChannel& channel = registry_.Find<UpstreamChannel>(kUpstreamChannel);
+  registry_.Find<FrontendBridge>(kBridge).SetService(query.service());
+  query_to_frontend_ = MakeTaskRing(frontend_.context(), kStateMessages);
+  query.Start([this, &frontend](FrontendState state) {
+    query_to_frontend_->TryPush(
+        [&frontend, state] { frontend.SetState(state); });
+  });
+  registry_.Find<UpstreamSide>(kUpstream).Start(query, query_.context());
+  registry_.Find<ControlSide>(kControl).Start(
+      [&channel](const SearcherId& searcher, std::size_t share) {
+        channel.SetConnectionShare(searcher, share);
+      },
+      std::move(document));
+}
+
+Result<void> Daemon::Listen() {
+  Frontend& frontend = registry_.Find<Frontend>(kFrontend);
+  Result<tcp::endpoint> callers = frontend.Listen(
+      EndpointOf(config_.listen_callers), ListenerRole::kCallers);
+  if (!callers)
+    return callers.error();
+  if (config_.listen_operations.port == 0)
+    return boost::outcome_v2::success();
+  Result<tcp::endpoint> operations = frontend.Listen(
+      EndpointOf(config_.listen_operations), ListenerRole::kOperations);
+  if (!operations)
+    return operations.error();
+  return boost::outcome_v2::success();
+}
+
+void Daemon::StartThreads() {
+  TelemetryWriter& writer = registry_.Find<TelemetryWriter>(kTelemetryWriter);
+  telemetry_.Start(nullptr);
+  SetThisThreadTelemetryPort(&writer.AddPort("main", config_.telemetry_ring));
+  for (DutyThread* thread : {&control_, &upstream_, &query_, &frontend_})
+    thread->Start(&writer.AddPort(thread->name(), config_.telemetry_ring));
+}
+
+int Daemon::Run() {
+  AwaitSignal();
+  main_context_.run();
+  StopThreads();
+  return exit_code_;
+}
+
+void Daemon::AwaitSignal() {
+  signals_.async_wait([this](const boost::system::error_code& ec, int) {
+    if (ec)
+      return;
+    OnSignal();
+    AwaitSignal();
+  });
+}
+
+void Daemon::OnSignal() {
+  switch (phase_) {
+    case Phase::kServing:
+      BeginGrace();
+      return;
+    case Phase::kGrace:
+      JJ_LOG(kDaemon, INFO) << "second signal: the grace time ends now";
+      main_timers_.Cancel(grace_timer_);
+      StopAccepting();
+      return;
+    case Phase::kFinishing:
+      JJ_LOG(kDaemon, WARNING) << "another signal: cutting off";
+      OnLimit();
+      return;
+    case Phase::kStopped:
+      return;
+  }
+}
+
+void Daemon::BeginGrace() {
+  phase_ = Phase::kGrace;
+  JJ_LOG(kDaemon, INFO) << "shutting down: not ready, accepting for another "
+                        << ToMilliseconds(config_.shutdown_grace) << " ms";
+  Frontend& frontend = registry_.Find<Frontend>(kFrontend);
+  ControlSide& control = registry_.Find<ControlSide>(kControl);
+  boost::asio::post(frontend_.context(),
+                    [&frontend] { frontend.BeginDrain(); });
+  boost::asio::post(control_.context(),
+                    [&control] { control.AnnounceLeaving(); });
+  grace_timer_ = main_timers_.ScheduleAfter(config_.shutdown_grace,
+                                            [this] { StopAccepting(); });
+  main_timers_.ScheduleAfter(config_.shutdown_limit, [this] { OnLimit(); });
+}
+
+void Daemon::StopAccepting() {
+  phase_ = Phase::kFinishing;
+  JJ_LOG(kDaemon, INFO) << "accepting no more connections";
+  Frontend& frontend = registry_.Find<Frontend>(kFrontend);
+  boost::asio::post(frontend_.context(), [this, &frontend] {
+    frontend.StopAccepting([this] {
+      boost::asio::post(main_context_, [this] { CheckFinished(); });
+    });
+  });
+}
+
+// Callers have their answers. Requests that run on without a caller, or for
+// another daemon, are waited for too.
+void Daemon::CheckFinished() {
+  QuerySide& query = registry_.Find<QuerySide>(kQuery);
+  boost::asio::post(query_.context(), [this, &query] {
+    std::size_t in_flight = query.service().in_flight();
+    boost::asio::post(main_context_, [this, in_flight] {
+      if (in_flight == 0)
+        End(kExitOk);
+      else
+        main_timers_.ScheduleAfter(kFinishCheckInterval,
+                                   [this] { CheckFinished(); });
+    });
+  });
+}
+
+void Daemon::OnLimit() {
+  if (phase_ == Phase::kStopped)
+    return;
+  std::size_t cut_off = CutOff();
+  JJ_LOG(kDaemon, ERROR) << "the shutdown cut off " << cut_off
+                         << " requests of callers";
+  End(kExitCutOff);
+}
+
+std::size_t Daemon::CutOff() {
+  Frontend& frontend = registry_.Find<Frontend>(kFrontend);
+  std::promise<std::size_t> cut_off;
+  boost::asio::post(frontend_.context(), [&frontend, &cut_off] {
+    cut_off.set_value(frontend.CloseAll());
+  });
+  return cut_off.get_future().get();
+}
+
+void Daemon::End(int exit_code) {
+  if (phase_ == Phase::kStopped)
+    return;
+  phase_ = Phase::kStopped;
+  exit_code_ = exit_code;
+  JJ_LOG(kDaemon, INFO) << "exit code " << exit_code;
+  main_context_.stop();
+}
+
+void Daemon::StopThreads() {
+  for (DutyThread* thread : {&frontend_, &query_, &upstream_, &control_})
+    thread->Stop();
+  SetThisThreadTelemetryPort(nullptr);
+  // Writes what the other threads have logged.
+  telemetry_.Finish();
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "daemon/control_side.h"
+#include "daemon/daemon_settings.h"
+#include "daemon/duty_thread.h"
+#include "daemon/peer_forwarder.h"
+#include "daemon/query_side.h"
+#include "daemon/upstream_side.h"
+#include "document/document.h"
+#include "frontend/frontend.h"
+#include "frontend/frontend_bridge.h"
+#include "kernel/service_registry.h"
+#include "telemetry/metrics.h"
+#include "telemetry/telemetry_writer.h"
+#include "telemetry/tracer.h"
+#include "upstream/upstream_channel.h"
+
+namespace jujubecove {
+
+// The entry daemon: wires the services of all threads and shuts them down.
+class Daemon {
+ public:
+  Daemon(const DaemonConfig& config, std::string version);
+  ~Daemon();
+
+  // Builds and starts everything. A null document is awaited from peers or the
+  // store.
+  Result<void> Start(std::shared_ptr<const Document> document);
+  // Serves until a signal has led to a shutdown; returns the exit code.
+  int Run();
+
+ private:
+  enum class Phase {
+    kServing,
+    // Not ready, but still accepting.
+    kGrace,
+    // Finishing what is in flight.
+    kFinishing,
+    kStopped,
+  };
+
+  void PublishParts();
+  void PublishSides();
+  void Connect(std::shared_ptr<const Document> document);
+  Result<void> Listen();
+  void StartThreads();
+  void AwaitSignal();
+  void OnSignal();
+  void BeginGrace();
+  void StopAccepting();
+  void CheckFinished();
+  void OnLimit();
+  void End(int exit_code);
+  std::size_t CutOff();
+  void StopThreads();
+
+  DaemonConfig config_;
+  std::string version_;
+  IncarnationId incarnation_;
+
+  // The main thread's own, for signals and the shutdown.
+  boost::asio::io_context main_context_;
+  AsioTimerService main_timers_;
+  boost::asio::signal_set signals_;
+  Phase phase_ = Phase::kServing;
+  int exit_code_ = 0;
+  TimerId grace_timer_;
+
+  MetricsRegistry metrics_;
+  // Destroyed after everything that lives on the threads. A thread is stopped
+  // before the parts that it runs are destroyed.
+  DutyThread telemetry_{"telemetry"};
+  DutyThread control_{"control"};
+  DutyThread upstream_{"upstream"};
+  DutyThread query_{"query"};
+  DutyThread frontend_{"frontend"};
+  std::unique_ptr<TaskRing> query_to_frontend_;
+  ServiceRegistry registry_;
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/daemon/daemon_settings.cc
@@ -0,0 +1,321 @@
+#include "daemon/daemon_settings.h"
+
+#include <chrono>
+#include <memory>
+
+namespace jujubecove {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr char kLoopback[] = "127.0.0.1";
+
+// Levels of a single category; kInherit stands for the level of all.
+enum class CategoryLevel : std::uint8_t {
+  kInherit,
+  kDebug,
+  kInfo,
+  kWarning,
+  kError,
+  kOff,
+};
+
+const Setting<std::string> kVmId(
+    {.section = "daemon",
+     .key = "vm_id",
+     .default_value = "entry",
+     .accepted = {.min_size = 1, .max_size = 64},
+     .doc = "Id of this VM in the platform's list."});
+const Setting<std::string> kZone({.section = "daemon",
+                                  .key = "zone",
+                                  .default_value = "local",
+                                  .accepted = {.min_size = 1, .max_size = 64},
+                                  .doc = "Availability zone of this VM."});
+const Setting<Duration> kShutdownGrace(
+    {.section = "daemon",
+     .key = "shutdown_grace_ms",
+     .default_value = seconds(5),
+     .unit = "ms",
+     .accepted = {.max = minutes(5)},
+     .doc =
+         "After a signal, time for the balancer to see that the daemon is not "
+         "ready before connections are refused."});
+const Setting<Duration> kShutdownLimit(
+    {.section = "daemon",
+     .key = "shutdown_limit_ms",
+     .default_value = seconds(30),
+     .unit = "ms",
+     .accepted = {.max = minutes(10)},
+     .doc =
+         "After a signal, time after which requests in flight are cut off."});
+
+const Setting<SocketAddress> kCallers(
+    {.section = "listen",
+     .key = "callers",
+     .default_value = SocketAddress{kLoopback, 8080},
+     .doc = "Address of the callers' interface."});
+const Setting<SocketAddress> kOperations(
+    {.section = "listen",
+     .key = "operations",
+     .default_value = SocketAddress{kLoopback, 0},
+     .doc = "Address for health, metrics and status alone, which answers even "
+            "when callers use up all connections. Port 0 turns it off."});
+const Setting<SocketAddress> kPeers(
+    {.section = "listen",
+     .key = "peers",
+     .default_value = SocketAddress{kLoopback, 8082},
+     .doc = "Address for other entry daemons, as the platform lists it."});
+
+const Setting<SocketAddress> kPlatform(
+    {.section = "platform",
+     .key = "address",
+     .default_value = SocketAddress{kLoopback, 7400},
+     .doc = "Address of the platform's service."});
+const Setting<Duration> kPlatformPoll(
+    {.section = "platform",
+     .key = "poll_ms",
+     .default_value = seconds(1),
+     .unit = "ms",
+     .accepted = {.min = milliseconds(100), .max = minutes(1)},
+     .doc = "Interval at which the VM list is fetched."});
+
+const Setting<std::uint32_t> kHeaderBytes(
+    {.section = "frontend",
+     .key = "header_bytes",
+     .default_value = FrontendLimits().header_bytes,
+     .unit = "bytes",
+     .accepted = {.min = 1024, .max = 1024 * 1024},
+     .doc = "Longest start line and longest header of a request."});
+const Setting<std::uint32_t> kBodyBytes(
+    {.section = "frontend",
+     .key = "body_bytes",
+     .default_value = FrontendLimits().body_bytes,
+     .unit = "bytes",
+     .accepted = {.min = 1024, .max = 1024 * 1024},
+     .doc = "Longest body of a request."});
+const Setting<Duration> kFirstByte(
+    {.section = "frontend",
+     .key = "first_byte_ms",
+     .default_value = FrontendLimits().first_byte,
+     .unit = "ms",
+     .accepted = {.min = milliseconds(1)},
+     .doc = "From accepting a connection to the first byte of a request."});
+const Setting<Duration> kHeaderTime(
+    {.section = "frontend",
+     .key = "header_ms",
+     .default_value = FrontendLimits().header_time,
+     .unit = "ms",
+     .accepted = {.min = milliseconds(1)},
+     .doc = "From the first to the last byte of a header."});
+const Setting<Duration> kBodyTime(
+    {.section = "frontend",
+     .key = "body_ms",
+     .default_value = FrontendLimits().body_time,
+     .unit = "ms",
+     .accepted = {.min = milliseconds(1)},
+     .doc = "From the last byte of the header to the last byte of the body."});
+const Setting<Duration> kIdleTime(
+    {.section = "frontend",
+     .key = "idle_ms",
+     .default_value = FrontendLimits().idle_time,
+     .unit = "ms",
+     .accepted = {.min = milliseconds(1)},
+     .doc = "From an answer to the next request on the connection."});
+const Setting<Duration> kWriteTime(
+    {.section = "frontend",
+     .key = "write_ms",
+     .default_value = FrontendLimits().write_time,
+     .unit = "ms",
+     .accepted = {.min = milliseconds(1)},
+     .doc = "For a caller to take an answer."});
+const Setting<Duration> kLingerTime(
+    {.section = "frontend",
+     .key = "linger_ms",
+     .default_value = FrontendLimits().linger_time,
+     .unit = "ms",
+     .accepted = {.min = milliseconds(1)},
+     .doc = "After the last answer, for a caller to close the connection."});
+const Setting<std::uint32_t> kConnections(
+    {.section = "frontend",
+     .key = "connections",
+     .default_value = FrontendLimits().connections,
+     .accepted = {.min = 1, .max = 100'000},
+     .doc = "Connections of callers. Each can hold a header and a body."});
+const Setting<std::uint32_t> kRequestsInFlight(
+    {.section = "frontend",
+     .key = "requests_in_flight",
+     .default_value = FrontendLimits().requests_in_flight,
+     .accepted = {.min = 1, .max = 1'000'000},
+     .doc = "Requests of callers that have not been answered."});
+const Setting<std::uint32_t> kRingMessages(
+    {.section = "frontend",
+     .key = "ring_messages",
+     .default_value = FrontendLimits().ring_messages,
+     .accepted = {.min = 1, .max = 1'000'000},
+     .doc =
+         "Places of the ring from the frontend thread to the query thread."});
+
+const Setting<std::uint32_t> kOutstandingAttempts(
+    {.section = "upstream",
+     .key = "outstanding_attempts",
+     .default_value = 65'536,
+     .accepted = {.min = 256, .max = 1'000'000},
+     .doc = "Requests to searchers that have not been answered."});
+
+const Setting<bool> kBaseline(
+    {.section = "policy",
+     .key = "baseline",
+     .default_value = false,
+     .doc =
+         "Random replicas without hedges and admission, to compare against."});
+
+const Setting<LogFormat> kLogFormat(
+    {.section = "log",
+     .key = "format",
+     .default_value = LogFormat::kText,
+     .accepted = {{"text", LogFormat::kText}, {"json", LogFormat::kJson}},
+     .doc = "One line of text, or one JSON object, for each record."});
+const Setting<LogLevel> kLogLevel({.section = "log",
+                                   .key = "level",
+                                   .default_value = LogLevel::kInfo,
+                                   .accepted = {{"debug", LogLevel::kDebug},
+                                                {"info", LogLevel::kInfo},
+                                                {"warning", LogLevel::kWarning},
+                                                {"error", LogLevel::kError},
+                                                {"off", LogLevel::kOff}},
+                                   .doc = "Least level that is written."});
+
+const Setting<double> kTraceShare(
+    {.section = "trace",
+     .key = "sample_share",
+     .default_value = 0.0,
+     .accepted = {.min = 0.0, .max = 1.0},
+     .doc = "Share of the traces that start here whose spans are written. A "
+            "caller's traceparent decides for its own."});
+const Setting<std::string> kTracePath(
+    {.section = "trace",
+     .key = "path",
+     .default_value = "",
+     .doc = "File for spans as OTLP/JSON lines; '-' is standard output, empty "
+            "writes none."});
+const Setting<std::uint32_t> kTelemetryRing(
+    {.section = "trace",
+     .key = "ring_records",
+     .default_value = 8'192,
+     .accepted = {.min = 16, .max = 1'000'000},
+     .doc = "Places of the ring from each thread to the telemetry thread, for "
+            "log records and spans."});
+
+using CategorySettings = std::vector<std::unique_ptr<Setting<CategoryLevel>>>;
+
+const CategorySettings& LogCategorySettings() {
+  static const CategorySettings kSettings = [] {
+    CategorySettings settings;
+    for (int n = 0; n < kLogCategoryCount; ++n) {
+      std::string name(NameOf(static_cast<LogCategory>(n)));
+      settings.push_back(
+          std::make_unique<Setting<CategoryLevel>>(SettingSpec<CategoryLevel>{
+              .section = "log",
+              .key = name,
+              .default_value = CategoryLevel::kInherit,
+              .accepted = {{"inherit", CategoryLevel::kInherit},
+                           {"debug", CategoryLevel::kDebug},
+                           {"info", CategoryLevel::kInfo},
+                           {"warning", CategoryLevel::kWarning},
+                           {"error", CategoryLevel::kError},
+                           {"off", CategoryLevel::kOff}},
+              .doc = "Least level of this category; inherit takes the key "
+                     "level."}));
+    }
+    return settings;
+  }();
+  return kSettings;
+}
+
+SettingSection LogSection() {
+  SettingSection section{"log", false, {&kLogFormat, &kLogLevel}, "Log."};
+  for (const std::unique_ptr<Setting<CategoryLevel>>& it :
+       LogCategorySettings())
+    section.settings.push_back(it.get());
+  return section;
+}
+
+LogLevel LevelOf(CategoryLevel level, LogLevel inherited) {
+  if (level == CategoryLevel::kInherit)
+    return inherited;
+  return static_cast<LogLevel>(static_cast<int>(level) - 1);
+}
+static_assert(static_cast<int>(CategoryLevel::kOff) - 1 ==
+              static_cast<int>(LogLevel::kOff));
+
+FrontendLimits MakeFrontendLimits(const Settings& settings) {
+  FrontendLimits limits;
+  limits.header_bytes = settings.Get(kHeaderBytes);
+  limits.body_bytes = settings.Get(kBodyBytes);
+  limits.first_byte = settings.Get(kFirstByte);
+  limits.header_time = settings.Get(kHeaderTime);
+  limits.body_time = settings.Get(kBodyTime);
+  limits.idle_time = settings.Get(kIdleTime);
+  limits.write_time = settings.Get(kWriteTime);
+  limits.linger_time = settings.Get(kLingerTime);
+  limits.connections = settings.Get(kConnections);
+  limits.requests_in_flight = settings.Get(kRequestsInFlight);
+  limits.ring_messages = settings.Get(kRingMessages);
+  return limits;
+}
+
+}  // namespace
+
+const SettingsSchema& DaemonSchema() {
+  static const SettingsSchema kSchema = {
+      {"daemon",
+       false,
+       {&kVmId, &kZone, &kShutdownGrace, &kShutdownLimit},
+       "This process."},
+      {"listen", false, {&kCallers, &kOperations, &kPeers}, "Addresses."},
+      {"platform", false, {&kPlatform, &kPlatformPoll}, "The platform."},
+      {"frontend",
+       false,
+       {&kHeaderBytes, &kBodyBytes, &kFirstByte, &kHeaderTime, &kBodyTime,
+        &kIdleTime, &kWriteTime, &kLingerTime, &kConnections,
+        &kRequestsInFlight, &kRingMessages},
+       "Bounds on callers."},
+      {"upstream", false, {&kOutstandingAttempts}, "Bounds on searchers."},
+      {"policy", false, {&kBaseline}, "Decisions."},
+      LogSection(),
+      {"trace",
+       false,
+       {&kTraceShare, &kTracePath, &kTelemetryRing},
+       "Traces and the way to the telemetry thread."},
+  };
+  return kSchema;
+}
+
+DaemonConfig MakeDaemonConfig(const Settings& settings) {
+  DaemonConfig config;
+  config.vm = VmId(settings.Get(kVmId));
+  config.zone = ZoneName(settings.Get(kZone));
+  config.listen_callers = settings.Get(kCallers);
+  config.listen_operations = settings.Get(kOperations);
+  config.listen_peers = settings.Get(kPeers);
+  config.platform = settings.Get(kPlatform);
+  config.platform_poll = settings.Get(kPlatformPoll);
+  config.frontend = MakeFrontendLimits(settings);
+  config.shutdown_grace = settings.Get(kShutdownGrace);
+  config.shutdown_limit = settings.Get(kShutdownLimit);
+  config.outstanding_attempts = settings.Get(kOutstandingAttempts);
+  config.baseline = settings.Get(kBaseline);
+  config.log_format = settings.Get(kLogFormat);
+  LogLevel level = settings.Get(kLogLevel);
+  for (int n = 0; n < kLogCategoryCount; ++n)
+    config.log_levels[n] =
+        LevelOf(settings.Get(*LogCategorySettings()[n]), level);
+  config.trace_share = settings.Get(kTraceShare);
+  config.trace_path = settings.Get(kTracePath);
+  config.telemetry_ring = settings.Get(kTelemetryRing);
+  return config;
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/daemon/daemon_settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "frontend/frontend_limits.h"
+#include "settings/settings.h"
+#include "settings/socket_address.h"
+#include "telemetry/log.h"
+
+namespace jujubecove {
+
+// The settings of one entry daemon in typed form.
+struct DaemonConfig {
+  VmId vm;
+  ZoneName zone;
+  SocketAddress listen_callers;
+  // Port 0 turns the separate operations address off.
+  SocketAddress listen_operations;
+  SocketAddress listen_peers;
+  SocketAddress platform;
+  Duration platform_poll{};
+  FrontendLimits frontend;
+  Duration shutdown_grace{};
+  Duration shutdown_limit{};
+  std::uint32_t outstanding_attempts = 0;
+  // Random replicas without hedges and admission, to compare against.
+  bool baseline = false;
+  LogFormat log_format = LogFormat::kText;
+  std::array<LogLevel, kLogCategoryCount> log_levels{};
+  double trace_share = 0.0;
+  std::string trace_path;
+  std::uint32_t telemetry_ring = 0;
+};
+
+// All settings that a settings file or --set may give.
+const SettingsSchema& DaemonSchema();
+
+DaemonConfig MakeDaemonConfig(const Settings& settings);
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/daemon/upstream_side.cc
@@ -0,0 +1,78 @@
+#include "daemon/upstream_side.h"
+
+#include <chrono>
+#include <string>
+
+namespace jujubecove {
+namespace {
+
+constexpr Duration kExportInterval = std::chrono::milliseconds(500);
+
+struct ExportedStat {
+  StatCounter UpstreamStats::*stat;
+  const char* name;
+  const char* help;
+};
+
+constexpr ExportedStat kExportedStats[] = {
+    {&UpstreamStats::connections_open, "connections_open",
+     "Connections to searchers."},
+    {&UpstreamStats::connections_connecting, "connections_connecting",
+     "Connections to searchers that are being set up."},
+    {&UpstreamStats::attempts_waiting, "attempts_waiting",
+     "Attempts that wait for a connection."},
+    {&UpstreamStats::attempts_sent, "attempts_sent_total",
+     "Attempts that were written to a connection."},
+    {&UpstreamStats::connect_failures, "connect_failures_total",
+     "Connections that could not be set up."},
+    {&UpstreamStats::silent_found, "silent_total",
+     "Connections closed because they went silent."},
+    {&UpstreamStats::bad_replies, "bad_replies_total",
+     "Replies that were malformed or matched another attempt."},
+    {&UpstreamStats::unsolicited, "unsolicited_total",
+     "Bytes that came while no reply was due."},
+    {&UpstreamStats::refused, "refused_total",
+     "Refusals by searchers before execution."},
+    {&UpstreamStats::no_connection, "no_connection_total",
+     "Attempts that got no connection."},
+    {&UpstreamStats::timed_out, "timed_out_total",
+     "Attempts that reached their deadline."},
+    {&UpstreamStats::cancelled, "cancelled_total", "Attempts cancelled."},
+    {&UpstreamStats::pings_sent, "pings_total", "Idle connections checked."},
+    {&UpstreamStats::reports_fetched, "reports_total", "Reports fetched."},
+    {&UpstreamStats::maps_fetched, "maps_total", "Shard maps fetched."},
+    {&UpstreamStats::maps_rejected, "maps_rejected_total",
+     "Shard maps with a hole or an overlap."},
+    {&UpstreamStats::bytes_sent, "sent_bytes_total",
+     "Bytes sent to searchers."},
+    {&UpstreamStats::bytes_received, "received_bytes_total",
+     "Bytes received from searchers."},
+};
+
+}  // namespace
+
+UpstreamSide::UpstreamSide(DutyThread& thread,
+                           boost::asio::io_context& query_context,
+                           IncarnationId incarnation,
+                           std::uint64_t seed,
+                           std::size_t capacity,
+                           MetricsRegistry& metrics)
+    : thread_(thread),
+      transport_(thread.context(), thread.timers(), incarnation, seed),
+      poller_(transport_, thread.timers(), seed + 1),
+      channel_(query_context, thread.context(), transport_, poller_, capacity) {
+  for (const ExportedStat& it : kExportedStats)
+    exported_.emplace_back(
+        &(transport_.upstream_stats().*it.stat),
+        &metrics.AddGauge(std::string("jujubecove_upstream_") + it.name,
+                          it.help));
+  Export();
+}
+
+void UpstreamSide::Export() {
+  for (const std::pair<const StatCounter*, Gauge*>& it : exported_)
+    it.second->Set(static_cast<double>(it.first->value()));
+  thread_.timers().ScheduleAfter(kExportInterval, [this] { Export(); });
+}
+
+}  // namespace jujubecove
--- a/src/frontend/caller_request.h
+++ b/src/frontend/caller_request.h
@@ -22,7 +22,7 @@
 inline constexpr std::size_t kMaxCallerBytes = 128;
 inline constexpr std::size_t kMaxKeyBytes = 1'024;
 inline constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
-inline constexpr std::size_t kMaxTicketsPerRequest = 1'000;
+inline constexpr std::size_t kMaxTicketsPerRequest = 100;
 
 enum class Endpoint : std::uint8_t {
   kQuery,
