--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -23,7 +23,6 @@
 constexpr char kBridge[] = "frontend.bridge";
 constexpr char kFrontend[] = "frontend";
 constexpr char kUpstream[] = "upstream";
-constexpr char kUpstreamChannel[] = "upstream.channel";
 constexpr char kForwarder[] = "peer.forwarder";
 constexpr char kQuery[] = "query";
 constexpr char kControl[] = "control";
@@ -100,13 +99,9 @@
                                    config_.frontend,
                                    FrontendIdentity{version_, config_.zone}));
   registry_.Publish(kUpstream,
-                    std::make_shared<UpstreamSide>(upstream_, incarnation_,
-                                                   SystemSeed(), metrics_));
-  registry_.Publish(kUpstreamChannel,
-                    std::make_shared<UpstreamChannel>(
-                        query_.context(), upstream_.context(),
-                        registry_.Find<UpstreamSide>(kUpstream).transport(),
-                        config_.outstanding_attempts));
+                    std::make_shared<UpstreamSide>(
+                        upstream_, query_.context(), incarnation_, SystemSeed(),
+                        config_.outstanding_attempts, metrics_));
   registry_.Publish(kForwarder, std::make_shared<PeerForwarder>(
                                     query_, control_, kForwardedRequests));
 }
@@ -123,7 +118,7 @@
   registry_.Publish(
       kQuery,
       std::make_shared<QuerySide>(
-          query_.timers(), registry_.Find<UpstreamChannel>(kUpstreamChannel),
+          query_.timers(), registry_.Find<UpstreamSide>(kUpstream).channel(),
           forwarder, metrics_, options));
   registry_.Publish(kControl,
                     std::make_shared<ControlSide>(
@@ -134,14 +129,20 @@
 void Daemon::Connect(std::shared_ptr<const Document> document) {
   QuerySide& query = registry_.Find<QuerySide>(kQuery);
   Frontend& frontend = registry_.Find<Frontend>(kFrontend);
-  UpstreamChannel& channel = registry_.Find<UpstreamChannel>(kUpstreamChannel);
+  UpstreamChannel& channel = registry_.Find<UpstreamSide>(kUpstream).channel();
   registry_.Find<FrontendBridge>(kBridge).SetService(query.service());
   query_to_frontend_ = MakeTaskRing(frontend_.context(), kStateMessages);
   query.Start([this, &frontend](FrontendState state) {
-    query_to_frontend_->TryPush(
+    return query_to_frontend_->TryPush(
         [&frontend, state] { frontend.SetState(state); });
   });
-  registry_.Find<UpstreamSide>(kUpstream).Start(query, query_.context());
+  channel.SetReportHandler([&query](const SearcherReport& report) {
+    query.router().ApplyReport(report);
+  });
+  channel.SetMapHandler([&query](const ServiceName& service,
+                                 std::shared_ptr<const ShardMap> map) {
+    query.router().AddShardMap(service, std::move(map));
+  });
   registry_.Find<ControlSide>(kControl).Start(
       [&channel](const SearcherId& searcher, std::size_t share) {
         channel.SetConnectionShare(searcher, share);
--- a/src/daemon/query_side.cc
+++ b/src/daemon/query_side.cc
@@ -5,7 +5,9 @@
 #include <utility>
 
 #include "admission/make_admission_queue.h"
+#include "admission/open_admission.h"
 #include "daemon/metered_router.h"
+#include "routing/baseline_router.h"
 #include "routing/make_router.h"
 #include "telemetry/log.h"
 
@@ -17,6 +19,14 @@
 // service may have lost all its searchers.
 constexpr Duration kMapPatience = std::chrono::seconds(2);
 
+std::unique_ptr<Router> MakePolicy(TimerService& timers,
+                                   const QuerySideOptions& options) {
+  std::unique_ptr<Router> router = MakeRouter(timers, options.seed);
+  if (!options.baseline)
+    return router;
+  return std::make_unique<BaselineRouter>(std::move(router), options.seed);
+}
+
 }  // namespace
 
 QuerySide::QuerySide(TimerService& timers,
@@ -26,9 +36,10 @@
                      const QuerySideOptions& options)
     : timers_(timers),
       trace_sink_(options.unix_epoch_offset),
-      router_(std::make_unique<MeteredRouter>(MakeRouter(timers, options.seed),
+      router_(std::make_unique<MeteredRouter>(MakePolicy(timers, options),
                                               metrics)),
-      admission_(MakeAdmissionQueue(timers)),
+      admission_(options.baseline ? std::make_unique<OpenAdmission>()
+                                  : MakeAdmissionQueue(timers)),
       tickets_(MakeTicketTable(timers, options.tickets)),
       engine_(
           EngineParts{timers, *router_, *admission_, transport, &trace_sink_},
@@ -87,11 +98,10 @@
                     [](const SearcherVm& vm) { return !vm.leaving; })));
   FrontendState state = MakeState();
   config_version_.Set(static_cast<double>(state.config_version.value()));
-  if (state.not_ready_reasons != shown_.not_ready_reasons ||
-      state.config_version != shown_.config_version) {
-    shown_ = state;
-    state_handler_(std::move(state));
-  }
+  bool changed = state.not_ready_reasons != shown_.not_ready_reasons ||
+                 state.config_version != shown_.config_version;
+  if (changed && state_handler_(state))
+    shown_ = std::move(state);
   timers_.ScheduleAfter(kWatchInterval, [this] { Watch(); });
 }
 
--- a/src/daemon/query_side.h
+++ b/src/daemon/query_side.h
@@ -32,8 +32,9 @@
 // Everything that lives on the query thread.
 class QuerySide {
  public:
-  // Told of each change of the state that the frontend shows.
-  using StateHandler = std::function<void(FrontendState)>;
+  // Told of each change of the state that the frontend shows. On false it is
+  // told again.
+  using StateHandler = std::function<bool(const FrontendState&)>;
 
   QuerySide(TimerService& timers,
             UpstreamTransport& transport,
