Use one trace context in gather, telemetry and the daemon

Cause: gather and the daemon each had a trace sink over telemetry, against two names of the same context.

--- a/src/gather/query_engine_impl.cc
+++ b/src/gather/query_engine_impl.cc
@@ -203,7 +203,7 @@
 void QueryEngineImpl::SetTrace(QueryRun& run) {
   run.trace = ContextOf(run.request.traceparent, context_.random);
   run.query_span = DrawSpanId(context_.random);
-  TraceContext own = run.trace;
+  SpanContext own = run.trace;
   own.span_id = run.query_span;
   run.traceparent = own.ToTraceparent();
   run.traced = context_.trace != nullptr && context_.trace->Wants(run.trace);
