--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -45,6 +45,7 @@
 
   Report report("path");
   report.Info("queries", static_cast<double>(samples.size()));
+  report.Statuses(samples);
   report.AtLeast("complete_share", ShareOf(samples, IsComplete), 0.999);
   report.Info("upstream_requests", sent);
   report.AtMost("cpu_us_per_upstream_request", cpu_us / sent, kCpuBoundUs);
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -1,6 +1,8 @@
 #include "bench/report.h"
 
+#include <cstddef>
 #include <iostream>
+#include <map>
 #include <sstream>
 
 namespace jujubecove::bench {
@@ -36,4 +38,12 @@
   Print(metric, value, "none", true);
 }
 
+void Report::Statuses(const std::vector<LoadSample>& samples) {
+  std::map<std::string, std::size_t> counts;
+  for (const LoadSample& it : samples)
+    ++counts[it.http_status == 0 ? "no_answer" : it.status];
+  for (const auto& [status, count] : counts)
+    Info("status_" + status, static_cast<double>(count));
+}
+
 }  // namespace jujubecove::bench
--- a/bench/report.h
+++ b/bench/report.h
@@ -1,7 +1,9 @@
 #pragma once
 
-#include <functional>
 #include <string>
+#include <vector>
+
+#include "bench/load_generator.h"
 
 namespace jujubecove::bench {
 
@@ -16,6 +18,9 @@
   // A figure without a target, such as that of the baseline.
   void Info(const std::string& metric, double value);
 
+  // How many samples had which status.
+  void Statuses(const std::vector<LoadSample>& samples);
+
   // 0 when every target was met, 1 otherwise.
   int exit_code() const { return short_ ? 1 : 0; }
 
