--- a/src/upstream/connection.cc
+++ b/src/upstream/connection.cc
@@ -132,6 +132,11 @@
   return reader_.state() != ReadState::kComplete || unread_ == 0;
 }
 
+bool Connection::HasUnreadBytes() const {
+  boost::system::error_code ec;
+  return socket_.available(ec) > 0 && !ec;
+}
+
 void Connection::Lose(LossCause cause) {
   std::shared_ptr<Connection> self = shared_from_this();
   Close();
--- a/src/upstream/connection.h
+++ b/src/upstream/connection.h
@@ -76,6 +76,9 @@
 
   bool closed() const { return closed_; }
   bool write_pending() const { return !write_rest_.empty(); }
+  // Whether bytes have arrived that were not read yet, as after a pause of the
+  // process.
+  bool HasUnreadBytes() const;
   bool reply_started() const { return reader_.started(); }
 
   // State that belongs to the owner.
--- a/src/upstream/report_poller.cc
+++ b/src/upstream/report_poller.cc
@@ -51,6 +51,8 @@
 void ReportPoller::OnSearcher(const SearcherId& id, bool added) {
   if (!added) {
     auto it = searchers_.find(id);
+    if (it == searchers_.end())
+      return;
     timer_.Cancel(it->second.timer);
     searchers_.erase(it);
     return;
--- a/src/upstream/searcher_pool.cc
+++ b/src/upstream/searcher_pool.cc
@@ -134,6 +134,10 @@
 }
 
 void SearcherPool::Requeue(UpstreamRequest request) {
+  if (host_.timer.Now() >= request.deadline) {
+    Refuse(request, AttemptOutcome::kNoConnection);
+    return;
+  }
   if (StartOnIdle(request))
     return;
   waiting_.push_front(std::move(request));
--- a/src/upstream/searcher_pool.h
+++ b/src/upstream/searcher_pool.h
@@ -125,6 +125,8 @@
 
   // Replies.
   bool Matches(const Connection& connection, const ParsedReply& reply) const;
+  // Writes the attempt for which the connection was checked.
+  void StartCheckedAttempt(Connection& connection, bool keep);
   bool TakeAttemptReply(Connection& connection, ParsedReply& reply);
   void ObserveLatency(Connection& connection, const ParsedReply& reply);
   // Ends a request that was not written.
--- a/src/upstream/searcher_pool_replies.cc
+++ b/src/upstream/searcher_pool_replies.cc
@@ -74,12 +74,7 @@
   } else if (job == Job::kControl && connection.control) {
     std::exchange(connection.control, nullptr)(&reply);
   } else if (job == Job::kPingBeforeAttempt) {
-    UpstreamRequest request = std::move(connection.request);
-    if (keep && WriteAttempt(connection, request))
-      return;
-    Discard(connection);
-    Requeue(std::move(request));
-    Fill();
+    StartCheckedAttempt(connection, keep);
     return;
   }
   if (keep) {
@@ -90,6 +85,21 @@
   Fill();
 }
 
+void SearcherPool::StartCheckedAttempt(Connection& connection, bool keep) {
+  UpstreamRequest request = std::move(connection.request);
+  bool in_time = host_.timer.Now() < request.deadline;
+  if (keep && in_time && WriteAttempt(connection, request))
+    return;
+  if (keep && !in_time) {
+    Refuse(request, AttemptOutcome::kNoConnection);
+    MakeIdle(connection);
+    return;
+  }
+  Discard(connection);
+  Requeue(std::move(request));
+  Fill();
+}
+
 // Requests other than attempts carry no attempt id, so a reply that echoes one
 // is a late or duplicate reply to something else.
 bool SearcherPool::Matches(const Connection& connection,
--- a/src/upstream/searcher_pool_silence.cc
+++ b/src/upstream/searcher_pool_silence.cc
@@ -66,7 +66,13 @@
     JudgeAttempt(connection, now);
     return;
   }
-  if (now < connection.give_up)
+  bool expired = connection.job == Job::kPingBeforeAttempt &&
+                 now >= connection.request.deadline;
+  if (expired) {
+    connection.job = Job::kPing;
+    Refuse(connection.request, AttemptOutcome::kNoConnection);
+  }
+  if (now < connection.give_up || connection.HasUnreadBytes())
     return;
   switch (connection.job) {
     case Job::kConnecting:
@@ -102,7 +108,8 @@
   // this request, so the longer limit applies.
   Duration limit =
       last_alive_ > since ? connection.silence_limit : connection.silence_bound;
-  return now - since >= std::max(limit, latency_.value() * 2);
+  return now - since >= std::max(limit, latency_.value() * 2) &&
+         !connection.HasUnreadBytes();
 }
 
 void SearcherPool::JudgeAttempt(Connection& connection, TimePoint now) {
--- a/tests/unit/upstream/connection_pool_test.cc
+++ b/tests/unit/upstream/connection_pool_test.cc
@@ -272,6 +272,25 @@
   EXPECT_TRUE(searcher.sessions[0]->ended());
 }
 
+// Guards against a non-idempotent request that is written after its deadline
+// because the check before it took long.
+TEST_F(ConnectionPoolTest, RequestThatExpiresDuringItsCheckIsNotRun) {
+  RawSearcher& searcher = AddSearcher(Nothing());
+  Advance(milliseconds(1'010));
+  UpstreamRequest request = Request(searcher);
+  request.idempotent = false;
+  request.deadline = timer.Now() + milliseconds(10);
+  transport->Send(request);
+  Advance(milliseconds(14));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(NameOf(replies[0].outcome), "no_connection");
+  EXPECT_EQ(replies[0].execution, Execution::kNotRun);
+  searcher.sessions[0]->Write(PlainReply());
+  Settle();
+  ASSERT_EQ(searcher.requests.size(), 1U);
+  EXPECT_EQ(searcher.requests[0].start_line, "GET /v1/ping HTTP/1.1");
+}
+
 // Guards against a cancelled attempt whose late reply reaches another attempt,
 // and against a connection that is given back before that reply.
 TEST_F(ConnectionPoolTest, CancelledAttemptKeepsItsConnectionUntilTheReply) {
--- a/tests/unit/upstream/silence_test.cc
+++ b/tests/unit/upstream/silence_test.cc
@@ -173,6 +173,20 @@
   EXPECT_EQ(replies[0].execution, Execution::kUnknown);
 }
 
+// Guards against a pause of the process that makes every connection look
+// silent although the replies are waiting to be read.
+TEST_F(SilenceTest, UnreadReplyAfterAPauseIsNotSilence) {
+  RawSearcher& searcher = AddSearcher(
+      [this](RawSearcher::Session& session, const RawRequest& request) {
+        session.Write(GoodReply(request));
+        // Runs the sweep before the event loop reads the reply.
+        timer.AdvanceBy(milliseconds(200));
+      });
+  UpstreamReply reply = Exchange(Request(searcher));
+  EXPECT_EQ(NameOf(reply.outcome), "ok");
+  EXPECT_EQ(SilentFound(), 0);
+}
+
 // Guards against a non-idempotent request that is cut early, after which its
 // outcome would be unknown for nothing.
 TEST_F(SilenceTest, NonIdempotentRequestEndsAtItsDeadlineAsUnknown) {
