--- a/src/upstream/http_upstream_transport.h
+++ b/src/upstream/http_upstream_transport.h
@@ -56,6 +56,8 @@
 
   // Can be read by any thread.
   const UpstreamStats& upstream_stats() const { return stats; }
+  // For the parts of the subsystem that run on the upstream thread.
+  UpstreamStats& upstream_stats() { return stats; }
   // Connections to one searcher, including those being set up.
   std::size_t ConnectionCount(const SearcherId& searcher) const;
 
--- a/src/upstream/report_poller.cc
+++ b/src/upstream/report_poller.cc
@@ -117,6 +117,7 @@
   Result<GeneratedReport> decoded = DecodeReport(id, reply->body);
   if (!decoded || !report_handler_(decoded.value().report))
     return;
+  transport_.upstream_stats().reports_fetched.Add(1);
   it->second.fetched = decoded.value().generation;
   FetchMaps(decoded.value().report);
 }
@@ -157,11 +158,14 @@
   if (reply == nullptr || reply->status != kStatusOk)
     return false;
   Result<ShardMap> map = DecodeShardMap(reply->body);
-  if (!map || map.value().version() != key.second)
+  if (!map || map.value().version() != key.second) {
+    transport_.upstream_stats().maps_rejected.Add(1);
     return false;
+  }
   if (!map_handler_(key.first,
                     std::make_shared<const ShardMap>(std::move(map).value())))
     return false;
+  transport_.upstream_stats().maps_fetched.Add(1);
   std::set<ShardMapVersion>& known = known_maps_[key.first];
   known.insert(key.second);
   if (known.size() > kMaxMapsPerService)
--- a/tests/unit/upstream/report_poller_test.cc
+++ b/tests/unit/upstream/report_poller_test.cc
@@ -135,9 +135,11 @@
   Advance(milliseconds(1'500), milliseconds(10));
   EXPECT_EQ(Fetches(searcher, "/v1/map/7"), 2U);
   EXPECT_TRUE(maps.empty());
+  EXPECT_EQ(transport->upstream_stats().maps_rejected.value(), 2);
   map_body = valid;
   Advance(milliseconds(1'500), milliseconds(10));
   EXPECT_EQ(maps.size(), 1U);
+  EXPECT_EQ(transport->upstream_stats().maps_fetched.value(), 1);
 }
 
 // Guards against a map that is lost because the way to the query thread was
