--- a/src/daemon/query_side.h
+++ b/src/daemon/query_side.h
@@ -6,12 +6,12 @@
 #include <vector>
 
 #include "admission/admission_queue.h"
-#include "daemon/telemetry_trace_sink.h"
 #include "document/document.h"
 #include "frontend/frontend.h"
 #include "gather/query_engine_impl.h"
 #include "gather/query_service_impl.h"
 #include "gather/ticket_forwarder.h"
+#include "gather/trace_sink.h"
 #include "kernel/timer_service.h"
 #include "once/ticket_options.h"
 #include "once/ticket_table.h"
--- a/src/gather/query_engine_impl.cc
+++ b/src/gather/query_engine_impl.cc
@@ -48,7 +48,7 @@
     if (locked && !locked->finished)
       OnCutoff(locked);
   });
-  Offer(run);
+  OfferOncePinnable(run);
 }
 
 QueryRunPtr QueryEngineImpl::MakeRun(QueryRequest request,
@@ -90,6 +90,34 @@
   run.cutoff = run.submitted + limit - margin;
 }
 
+// A query that waits for a common version must not hold a place that others
+// need: during a roll-out without one, the places would fill with waiting
+// queries, and admission would take their waiting for a slow service.
+void QueryEngineImpl::OfferOncePinnable(const QueryRunPtr& run) {
+  const ServiceName& service = run->spec->service;
+  bool is_pinnable = !run->spec->snapshot ||
+                     context_.router.CurrentMap(service) == nullptr ||
+                     context_.router.PickSnapshot(service, {}).has_value();
+  if (is_pinnable) {
+    run->pin_delays = 0;
+    Offer(run);
+    return;
+  }
+  Duration delay =
+      BackOff(context_.options, run->pin_delays++, context_.random);
+  Duration needed = context_.router.TypicalLatency(service);
+  if (context_.timers.Now() + delay + needed >= run->cutoff) {
+    Refuse(run, ErrorKind::kSnapshotUnavailable, GapCause::kVersionUnavailable);
+    return;
+  }
+  std::weak_ptr<QueryRun> weak = run;
+  run->pin_timer = context_.timers.ScheduleAfter(delay, [this, weak] {
+    QueryRunPtr locked = weak.lock();
+    if (locked && !locked->finished)
+      OfferOncePinnable(locked);
+  });
+}
+
 void QueryEngineImpl::Offer(const QueryRunPtr& run) {
   AdmissionItem item;
   item.request = run->request.id;
@@ -137,14 +165,16 @@
 
 // Ends a query of which nothing was sent. Its coverage is stated over the map
 // that it would have used.
-void QueryEngineImpl::Refuse(const QueryRunPtr& run, ErrorKind error) {
+void QueryEngineImpl::Refuse(const QueryRunPtr& run,
+                             ErrorKind error,
+                             GapCause cause) {
   run->error = error;
   std::shared_ptr<const ShardMap> map =
       context_.router.CurrentMap(run->spec->service);
   if (map) {
     run->Reset(map, std::nullopt, context_.options.max_result_bytes);
     for (std::size_t n = 0; n < run->shards.size(); ++n)
-      run->SetGap(n, GapCause::kRefused);
+      run->SetGap(n, cause);
   }
   Finish(run);
 }
@@ -203,7 +233,7 @@
 void QueryEngineImpl::SetTrace(QueryRun& run) {
   run.trace = ContextOf(run.request.traceparent, context_.random);
   run.query_span = DrawSpanId(context_.random);
-  TraceContext own = run.trace;
+  SpanContext own = run.trace;
   own.span_id = run.query_span;
   run.traceparent = own.ToTraceparent();
   run.traced = context_.trace != nullptr && context_.trace->Wants(run.trace);
--- a/src/gather/query_engine_impl.h
+++ b/src/gather/query_engine_impl.h
@@ -45,8 +45,11 @@
  private:
   QueryRunPtr MakeRun(QueryRequest request, AnswerHandler handler);
   void SetTimes(QueryRun& run);
+  void OfferOncePinnable(const QueryRunPtr& run);
   void Offer(const QueryRunPtr& run);
-  void Refuse(const QueryRunPtr& run, ErrorKind error);
+  void Refuse(const QueryRunPtr& run,
+              ErrorKind error,
+              GapCause cause = GapCause::kRefused);
   void OnAdmitted(RequestId request);
   void OnRefused(RequestId request, ErrorKind error);
   void OnCutoff(const QueryRunPtr& run);
--- a/src/gather/query_run.h
+++ b/src/gather/query_run.h
@@ -81,7 +81,7 @@
   const KindSpec* spec = nullptr;
   ServiceWaits* service = nullptr;
   // The caller's context; its span id is zero for a new trace.
-  TraceContext trace;
+  SpanContext trace;
   // The header value for the query's own span.
   std::string traceparent;
   SpanId query_span{};
--- a/src/gather/trace_sink.cc
+++ b/src/gather/trace_sink.cc
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-bool TelemetryTraceSink::Wants(const TraceContext& context) const {
+bool TelemetryTraceSink::Wants(const SpanContext& context) const {
   return context.sampled && ThisThreadTelemetryPort() != nullptr;
 }
 
@@ -48,11 +48,11 @@
   return id;
 }
 
-TraceContext ContextOf(std::string_view traceparent, RandomEngine& random) {
-  std::optional<TraceContext> parsed = TraceContext::Parse(traceparent);
+SpanContext ContextOf(std::string_view traceparent, RandomEngine& random) {
+  std::optional<SpanContext> parsed = SpanContext::Parse(traceparent);
   if (parsed)
     return *parsed;
-  TraceContext context;
+  SpanContext context;
   Fill(random, context.trace_id);
   return context;
 }
--- a/src/gather/trace_sink.h
+++ b/src/gather/trace_sink.h
@@ -10,7 +10,7 @@
 
 #include "base/random.h"
 #include "base/units.h"
-#include "telemetry/trace_context.h"
+#include "telemetry/span_context.h"
 
 namespace jujubecove {
 
@@ -18,7 +18,7 @@
 
 // One finished span. Names and attribute keys are string literals.
 struct SpanRecord {
-  TraceContext context;
+  SpanContext context;
   std::optional<SpanId> parent;
   std::string_view name;
   TimePoint start;
@@ -32,7 +32,7 @@
   virtual ~TraceSink() = default;
 
   // Whether the spans of this trace are wanted.
-  virtual bool Wants(const TraceContext& context) const = 0;
+  virtual bool Wants(const SpanContext& context) const = 0;
   virtual void Emit(SpanRecord record) = 0;
 };
 
@@ -43,7 +43,7 @@
   explicit TelemetryTraceSink(Duration unix_epoch_offset)
       : unix_epoch_offset_(unix_epoch_offset) {}
 
-  bool Wants(const TraceContext& context) const override;
+  bool Wants(const SpanContext& context) const override;
   void Emit(SpanRecord record) override;
 
  private:
@@ -54,7 +54,7 @@
 SpanId DrawSpanId(RandomEngine& random);
 // The context of a header value; a new unsampled trace without a span when it
 // is absent or malformed.
-TraceContext ContextOf(std::string_view traceparent, RandomEngine& random);
+SpanContext ContextOf(std::string_view traceparent, RandomEngine& random);
 // The header value for another span of the same trace. `traceparent` is the
 // value for one span of it; formatting the trace id again costs more than the
 // rest of the value.
--- a/src/routing/replica_selector.cc
+++ b/src/routing/replica_selector.cc
@@ -36,6 +36,7 @@
   // Used only when nothing else is left.
   double spare_wait = std::numeric_limits<double>::infinity();
   SearcherIndex spare = kNoSearcher;
+  bool spare_busy = false;
   SearcherIndex probe = kNoSearcher;
 };
 
@@ -95,6 +96,7 @@
   bool usable = IsUsable(replica, search.pool, search.now);
   if (searcher.in_flight >= searcher.limit.limit()) {
     search.busy = search.busy || usable;
+    search.spare_busy = true;
     return;
   }
   double wait = ExpectedWait(searcher, search);
@@ -156,7 +158,11 @@
     return Choice{ChoiceStatus::kAllBusy, {}};
   if (search.spare != kNoSearcher)
     return Choice{ChoiceStatus::kChosen, directory_.at(search.spare).id};
-  return Choice{ChoiceStatus::kNoReplica, {}};
+  // An outlier at its limit is still worth waiting for: it may be the only one
+  // that holds the version.
+  return Choice{
+      search.spare_busy ? ChoiceStatus::kAllBusy : ChoiceStatus::kNoReplica,
+      {}};
 }
 
 }  // namespace jujubecove
