--- a/src/daemon/control_side.cc
+++ b/src/daemon/control_side.cc
@@ -80,12 +80,27 @@
   share_handler_ = std::move(handler);
   document_ = std::move(document);
   document_due_ = document_ != nullptr;
+  if (!document_)
+    StartConfig();
   membership_.Start();
   OnMembers();
   PollVmList();
   ApplyShares();
 }
 
+void ControlSide::StartConfig() {
+  config_agent_ = std::make_unique<ConfigAgent>(
+      thread_.timers(), store_, peers_, membership_, SystemSeed());
+  config_agent_->SetActivationHandler(
+      [this](std::shared_ptr<const Document> document) {
+        document_ = std::move(document);
+        document_due_ = true;
+        PushToQuery();
+      });
+  membership_.SetExtension(config_agent_.get());
+  config_agent_->Start();
+}
+
 void ControlSide::PollVmList() {
   store_.Fetch(list_revision_, [this](VmListReply reply) {
     OnVmList(std::move(reply));
@@ -139,6 +154,8 @@
   shares_.SetDaemons(daemons);
   forwarder_.SetKnownAddresses(std::move(addresses));
   live_daemons_.Set(static_cast<double>(daemons.size()));
+  if (config_agent_)
+    config_agent_->OnMembersChanged();
   PushToQuery();
 }
 
@@ -158,6 +175,17 @@
     live_told_ = live;
 }
 
+void ControlSide::PushConfigState() {
+  if (!config_agent_)
+    return;
+  std::string reason =
+      config_agent_->ready() ? "" : config_agent_->NotReadyReason();
+  if (reason != config_reason_told_ &&
+      to_query_->TryPush(
+          [query = &query_, reason] { query->SetConfigReason(reason); }))
+    config_reason_told_ = std::move(reason);
+}
+
 // A searcher that leaves gets no share: its connections close once the
 // requests on them have ended.
 void ControlSide::ApplyShares() {
@@ -182,6 +210,7 @@
   }
   given_shares_ = std::move(shares);
   PushToQuery();
+  PushConfigState();
   thread_.timers().ScheduleAfter(kShareInterval, [this] { ApplyShares(); });
 }
 
@@ -190,12 +219,15 @@
   return membership_.OnExchange(message);
 }
 
-wire::DocumentReply ControlSide::OnFetchDelta(ConfigVersion, ConfigVersion) {
-  return wire::DocumentReply();
+wire::DocumentReply ControlSide::OnFetchDelta(ConfigVersion from,
+                                              ConfigVersion to) {
+  return config_agent_ ? config_agent_->OnFetchDelta(from, to)
+                       : wire::DocumentReply();
 }
 
-wire::DocumentReply ControlSide::OnFetchDocument(ConfigVersion) {
-  return wire::DocumentReply();
+wire::DocumentReply ControlSide::OnFetchDocument(ConfigVersion version) {
+  return config_agent_ ? config_agent_->OnFetchDocument(version)
+                       : wire::DocumentReply();
 }
 
 void ControlSide::OnExecute(const wire::ForwardRequest& request,
--- a/src/daemon/control_side.h
+++ b/src/daemon/control_side.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "config/config_agent.h"
 #include "daemon/daemon_settings.h"
 #include "daemon/duty_thread.h"
 #include "daemon/peer_forwarder.h"
@@ -38,7 +39,7 @@
   ~ControlSide() override;
 
   // Called while the process is being wired. A null document is awaited from
-  // peers or the store.
+  // peers or the store; a given one stays in force.
   void Start(ShareHandler handler, std::shared_ptr<const Document> document);
 
   // On the control thread.
@@ -49,7 +50,9 @@
   void OnVmList(VmListReply reply);
   void OnMembers();
   void ApplyShares();
+  void StartConfig();
   void PushToQuery();
+  void PushConfigState();
 
   wire::ExchangeMessage OnExchange(
       const wire::ExchangeMessage& message) override;
@@ -73,6 +76,11 @@
   std::unique_ptr<TaskRing> from_query_;
   ShareHandler share_handler_;
   std::shared_ptr<const Document> document_;
+  // Null when the document was given at the start.
+  std::unique_ptr<ConfigAgent> config_agent_;
+  // Why the configuration keeps the daemon from being ready, as it was told to
+  // the query thread.
+  std::string config_reason_told_;
   VmListRevision list_revision_;
   std::vector<SearcherVm> searchers_;
   std::vector<ZoneName> zones_;
--- a/src/daemon/exit_code.h
+++ b/src/daemon/exit_code.h
@@ -3,7 +3,7 @@
 namespace jujubecove {
 
 // Exit codes of jujubecoved; docs/operating.md explains them.
-enum ExitCode : int {
+enum DaemonExitCode : int {
   kExitOk = 0,
   // The process could not start: an address in use, an unreadable file.
   kExitStartFailed = 1,
--- a/src/kernel/service_registry.h
+++ b/src/kernel/service_registry.h
@@ -18,10 +18,9 @@
   // taken only once.
   template <typename Interface>
   void Publish(const std::string& name, std::shared_ptr<Interface> service) {
-    bool inserted = services_
-                        .emplace(name, Entry{std::type_index(typeid(Interface)),
-                                             std::move(service)})
-                        .second;
+    std::type_index type{typeid(Interface)};
+    bool inserted =
+        services_.emplace(name, Entry{type, std::move(service)}).second;
     assert(inserted);
     (void)inserted;
   }
