--- /dev/null
+++ b/tests/fuzz/caller_request_fuzz.cc
@@ -0,0 +1,77 @@
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "frontend/request_reader.h"
+
+extern const char* const kFuzzSeeds[] = {
+    "POST /v1/query/payout-search HTTP/1.1\r\nHost: x\r\n"
+    "Jujubecove-Deadline-Ms: 80\r\nJujubecove-Caller: a\r\nJujubecove-Key: "
+    "k\r\n"
+    "Idempotency-Key: t\r\ntraceparent: 00-4bf92f3577b34da6a3ce929d0e0e4736-"
+    "00f067aa0ba902b7-01\r\nContent-Length: 5\r\n\r\n[1,2]",
+    "POST /v1/query/k HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+    "\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: v\r\n\r\n",
+    "POST /v1/tickets?count=3 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n",
+    "GET /readyz HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+    "POST /v1/query/k HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+    "Content-Length: 2\r\n\r\n{}",
+};
+extern const std::size_t kFuzzSeedCount =
+    sizeof kFuzzSeeds / sizeof kFuzzSeeds[0];
+
+namespace jujubecove {
+namespace {
+
+// What was read of the input, one line for each request.
+std::string ReadInput(const std::uint8_t* data,
+                      std::size_t size,
+                      std::size_t piece) {
+  FrontendLimits limits;
+  limits.header_bytes = 4'096;
+  limits.body_bytes = 4'096;
+  RequestReader reader(limits);
+  boost::beast::flat_buffer buf;
+  std::string read;
+  for (std::size_t at = 0; at < size; at += piece) {
+    std::size_t n = std::min(piece, size - at);
+    boost::asio::buffer_copy(buf.prepare(n), boost::asio::buffer(data + at, n));
+    buf.commit(n);
+    while (reader.Read(buf) == RequestReader::State::kComplete) {
+      read += std::string(NameOf(reader.request().endpoint)) + " " +
+              reader.request().query.kind.value() + " " +
+              reader.request().query.key + " " + reader.TakeBody() + "\n";
+      reader.Reset();
+    }
+    if (reader.state() == RequestReader::State::kFailed)
+      return read + std::string(NameOf(reader.error().kind));
+    if (buf.size() > reader.BufferBytes()) {
+      std::cerr << "the reader lets " << buf.size() << " bytes pile up\n";
+      std::abort();
+    }
+  }
+  return read;
+}
+
+}  // namespace
+}  // namespace jujubecove
+
+// Aborts when the same bytes are read differently in one piece and in many, or
+// when the reader lets more pile up than it says.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  std::string whole = jujubecove::ReadInput(data, size, size + 1);
+  std::string pieces = jujubecove::ReadInput(data, size, 3);
+  if (whole != pieces) {
+    std::cerr << "read differently in pieces:\n"
+              << whole << "\n---\n"
+              << pieces << "\n";
+    std::abort();
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/unit/daemon/daemon_settings_test.cc
@@ -0,0 +1,80 @@
+#include "daemon/daemon_settings.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "daemon/command_line.h"
+
+namespace jujubecove {
+namespace {
+
+DaemonConfig Load(const std::string& text,
+                  const std::vector<std::string>& overrides,
+                  std::vector<SettingFault>& faults) {
+  IniFile file = IniFile::Parse("daemon.ini", text, faults);
+  return MakeDaemonConfig(
+      Settings::Load(DaemonSchema(), file, overrides, faults));
+}
+
+// Guards against defaults of the settings that drift from those of the code.
+TEST(DaemonSettingsTest, DefaultsAreThoseOfTheCode) {
+  std::vector<SettingFault> faults;
+  DaemonConfig config = Load("", {}, faults);
+  EXPECT_THAT(faults, testing::IsEmpty());
+  EXPECT_EQ(config.frontend.header_bytes, 16U * 1024);
+  EXPECT_EQ(config.frontend.body_bytes, 1024U * 1024);
+  EXPECT_EQ(config.frontend.idle_time, FrontendLimits().idle_time);
+  EXPECT_EQ(config.shutdown_limit, std::chrono::seconds(30));
+  EXPECT_EQ(config.listen_operations.port, 0);
+  for (LogLevel level : config.log_levels)
+    EXPECT_EQ(level, LogLevel::kInfo);
+}
+
+// Guards against a setting that is declared and not used, or used twice.
+TEST(DaemonSettingsTest, ReadsFileAndOverrides) {
+  std::vector<SettingFault> faults;
+  DaemonConfig config = Load(
+      "[daemon]\nvm_id = entry-3\nzone = othaya\n"
+      "[frontend]\nconnections = 5\nbody_ms = 7\n"
+      "[log]\nlevel = warning\nrouting = debug\nformat = json\n",
+      {"listen.callers=[::1]:9", "trace.sample_share=0.5"}, faults);
+  EXPECT_THAT(faults, testing::IsEmpty());
+  EXPECT_EQ(config.vm, VmId("entry-3"));
+  EXPECT_EQ(config.zone, ZoneName("othaya"));
+  EXPECT_EQ(config.frontend.connections, 5U);
+  EXPECT_EQ(config.frontend.body_time, Duration(7'000));
+  EXPECT_EQ(config.frontend.header_time, FrontendLimits().header_time);
+  EXPECT_EQ(config.listen_callers.ToString(), "[::1]:9");
+  EXPECT_EQ(config.trace_share, 0.5);
+  EXPECT_EQ(config.log_format, LogFormat::kJson);
+  EXPECT_EQ(config.log_levels[static_cast<std::size_t>(LogCategory::kRouting)],
+            LogLevel::kDebug);
+  EXPECT_EQ(config.log_levels[static_cast<std::size_t>(LogCategory::kGather)],
+            LogLevel::kWarning);
+}
+
+// Guards against settings that are missing in the description, which
+// docs/operating.md refers to.
+TEST(DaemonSettingsTest, DescriptionReadsBackAsTheDefaults) {
+  std::vector<SettingFault> faults;
+  IniFile file =
+      IniFile::Parse("doc.ini", DescribeSchema(DaemonSchema()), faults);
+  Settings described = Settings::Load(DaemonSchema(), file, {}, faults);
+  EXPECT_THAT(faults, testing::IsEmpty());
+  EXPECT_EQ(described.ToIni(),
+            Settings::Load(DaemonSchema(), IniFile(), {}, faults).ToIni());
+}
+
+// Guards against overrides that gflags would drop.
+TEST(CommandLineTest, TakesRepeatedOverrides) {
+  std::vector<std::string> arguments = {
+      "jujubecoved",       "--set",  "a.b=1", "--config=x",
+      "--set=c.d=2,e.f=3", "--check"};
+  EXPECT_THAT(TakeOverrides(arguments),
+              testing::ElementsAre("a.b=1", "c.d=2", "e.f=3"));
+  EXPECT_THAT(arguments,
+              testing::ElementsAre("jujubecoved", "--config=x", "--check"));
+}
+
+}  // namespace
+}  // namespace jujubecove
