Keep urgent queries and goodput at three times the capacity

Change: the latency signal lowers the limit to its start at most and is bounded by multiples of the document's latency; the ceiling is 4 times the start instead of 8.

--- a/src/admission/in_flight_limit.cc
+++ b/src/admission/in_flight_limit.cc
@@ -7,7 +7,7 @@
 
 constexpr double kDecrease = 0.85;
 // The document's figures may understate a service, but hardly by more.
-constexpr double kMostTimesStart = 8;
+constexpr double kMostTimesStart = 4;
 
 }  // namespace
 
@@ -21,14 +21,16 @@
 }
 
 void InFlightLimit::OnFinished(std::size_t in_flight,
-                               bool congested,
+                               Congestion congestion,
                                TimePoint admitted,
                                TimePoint now) {
-  if (congested) {
+  if (congestion != Congestion::kNone) {
     // Queries admitted before the last decrease met the same congestion.
     if (admitted <= decreased_at_)
       return;
-    limit_ = std::max(1.0, limit_ * kDecrease);
+    double floor = congestion == Congestion::kSlow ? start_ : 1.0;
+    limit_ = std::max(std::min(floor, limit_), limit_ * kDecrease);
+    limit_ = std::max(1.0, limit_);
     decreased_at_ = now;
     return;
   }
--- a/src/admission/in_flight_limit.h
+++ b/src/admission/in_flight_limit.h
@@ -1,11 +1,23 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 #include "base/units.h"
 
 namespace jujubecove {
 
+// What an admitted query tells of the load.
+enum class Congestion : std::uint8_t {
+  kNone,
+  // Queries take long. That depends on what each daemon holds to be usual, so
+  // it brings the limit down to the start at most: otherwise a daemon that once
+  // saw short durations would leave all capacity to the others.
+  kSlow,
+  // Attempts were refused, or the deadline was missed.
+  kRefused,
+};
+
 // This daemon's limit of queries in flight at one service: additive increase,
 // multiplicative decrease by what admitted queries met.
 class InFlightLimit {
@@ -16,7 +28,7 @@
 
   // A query that was admitted at `admitted` ended. `in_flight` includes it.
   void OnFinished(std::size_t in_flight,
-                  bool congested,
+                  Congestion congestion,
                   TimePoint admitted,
                   TimePoint now);
 
--- a/src/admission/urgency_admission.cc
+++ b/src/admission/urgency_admission.cc
@@ -16,8 +16,13 @@
 // Share of refused attempts that shows congestion.
 constexpr double kRefusedShare = 0.05;
 // A smoothed duration over this multiple of the least one shows that queries
-// wait at the searchers.
+// wait at the searchers. The multiples of the document's latency bound it,
+// since the least duration is a chance value that differs between daemons; a
+// query is as slow as the slowest of its shards, about three times a single
+// request.
 constexpr double kCongestedDuration = 2.5;
+constexpr double kLeastTimesExpected = 4;
+constexpr double kMostTimesExpected = 8;
 // Rise of the least duration for each query, so that it follows a lasting
 // change.
 constexpr double kBaseRise = 1.0001;
@@ -43,6 +48,8 @@
     if (!service)
       service = std::make_unique<Service>();
     service->declared = true;
+    service->expected_latency =
+        static_cast<double>(spec.expected_latency.count());
     service->limit.Configure(kTimesCapacity * spec.replicas * spec.slots /
                              daemons);
   }
@@ -128,7 +135,7 @@
   return true;
 }
 
-bool UrgencyAdmission::IsCongested(Service& service,
+Congestion UrgencyAdmission::Judge(Service& service,
                                    const AdmissionFeedback& feedback) const {
   double duration =
       std::max(1.0, static_cast<double>(feedback.duration.count()));
@@ -139,12 +146,14 @@
     service.base_duration = service.duration;
   service.base_duration =
       std::min(service.base_duration * kBaseRise, service.duration);
-  if (!feedback.met_deadline)
-    return true;
-  if (static_cast<double>(feedback.refused) >
-      kRefusedShare * static_cast<double>(feedback.attempts))
-    return true;
-  return service.duration > kCongestedDuration * service.base_duration;
+  if (!feedback.met_deadline ||
+      static_cast<double>(feedback.refused) >
+          kRefusedShare * static_cast<double>(feedback.attempts))
+    return Congestion::kRefused;
+  double bound = std::clamp(kCongestedDuration * service.base_duration,
+                            kLeastTimesExpected * service.expected_latency,
+                            kMostTimesExpected * service.expected_latency);
+  return service.duration > bound ? Congestion::kSlow : Congestion::kNone;
 }
 
 void UrgencyAdmission::Finished(RequestId request,
@@ -155,8 +164,8 @@
   Admitted admitted = it->second;
   admitted_.erase(it);
   Service& service = *admitted.service;
-  bool congested = IsCongested(service, feedback);
-  service.limit.OnFinished(service.in_flight, congested, admitted.admitted_at,
+  Congestion congestion = Judge(service, feedback);
+  service.limit.OnFinished(service.in_flight, congestion, admitted.admitted_at,
                            timers_.Now());
   --service.in_flight;
   Pump(service);
--- a/src/admission/urgency_admission.h
+++ b/src/admission/urgency_admission.h
@@ -35,6 +35,7 @@
     InFlightLimit limit;
     std::size_t in_flight = 0;
     bool declared = false;
+    double expected_latency = 0;
     // Smoothed time that an admitted query takes, and a slowly rising minimum
     // of it, in microseconds; zero before the first.
     double duration = 0;
@@ -51,7 +52,7 @@
   using Expiry = std::pair<TimePoint, RequestId>;
 
   Duration PredictWait(const Service& service, const AdmissionItem& item) const;
-  bool IsCongested(Service& service, const AdmissionFeedback& feedback) const;
+  Congestion Judge(Service& service, const AdmissionFeedback& feedback) const;
   void Admit(Service& service, RequestId request);
   void Enqueue(Service& service, const AdmissionItem& item);
   void Pump(Service& service);
--- a/tests/unit/admission/admission_queue_test.cc
+++ b/tests/unit/admission/admission_queue_test.cc
@@ -74,5 +74,120 @@
   EXPECT_EQ(admitted_.at(1), 3U);
 }
 
+// Guards against one caller with many queries keeping others of its urgency
+// waiting.
+TEST_F(AdmissionQueueTest, CallersTakeTurns) {
+  queue_->Offer(MakeItem(1));
+  for (std::uint64_t id : {2, 3, 4})
+    queue_->Offer(MakeItem(id, Urgency::kNormal, "busy"));
+  queue_->Offer(MakeItem(5, Urgency::kNormal, "b"));
+  queue_->Offer(MakeItem(6, Urgency::kNormal, "c"));
+  while (finished_ < admitted_.size())
+    FinishOne();
+  EXPECT_EQ(admitted_, (std::vector<std::uint64_t>{1, 2, 5, 6, 3, 4}));
+}
+
+// Guards against queueing a query that is bound to be late.
+TEST_F(AdmissionQueueTest, RefusesEarlyWhatCannotMeetItsDeadline) {
+  AdmissionItem item = MakeItem(1);
+  item.deadline = timers_.Now() + item.expected_duration - Duration(1);
+  queue_->Offer(item);
+  EXPECT_EQ(refused_.at(1), ErrorKind::kDeadlineUnmeetable);
+  queue_->Offer(MakeItem(2));
+  for (std::uint64_t id = 3; id < 8; ++id)
+    queue_->Offer(MakeItem(id));
+  item = MakeItem(8);
+  item.deadline = timers_.Now() + Duration(40'000);
+  queue_->Offer(item);
+  EXPECT_EQ(refused_.at(8), ErrorKind::kDeadlineUnmeetable)
+      << "five queries of 10 ms are before it";
+  item = MakeItem(9, Urgency::kCritical);
+  item.deadline = timers_.Now() + Duration(40'000);
+  queue_->Offer(item);
+  EXPECT_EQ(refused_.count(9), 0U) << "none is before it";
+}
+
+// Guards against a queued query being kept until it is dequeued although its
+// deadline cannot be met any more.
+TEST_F(AdmissionQueueTest, RefusesWhenTheDeadlineBecomesUnmeetable) {
+  queue_->Offer(MakeItem(1));
+  AdmissionItem item = MakeItem(2);
+  item.deadline = timers_.Now() + Duration(50'000);
+  queue_->Offer(item);
+  timers_.AdvanceBy(Duration(40'000));
+  EXPECT_EQ(refused_.count(2), 0U);
+  timers_.AdvanceBy(Duration(1));
+  EXPECT_EQ(refused_.at(2), ErrorKind::kDeadlineUnmeetable);
+  EXPECT_EQ(queue_->queued(), 0U);
+  EXPECT_TRUE(timers_.empty());
+}
+
+// Guards against a full queue that refuses the urgent and keeps the rest.
+TEST_F(AdmissionQueueTest, UrgentQueryDisplacesTheNewestOfTheLowestUrgency) {
+  queue_->Offer(MakeItem(1));
+  queue_->Offer(MakeItem(2, Urgency::kBackground));
+  std::uint64_t id = 3;
+  while (refused_.empty())
+    queue_->Offer(MakeItem(id++, Urgency::kNormal));
+  EXPECT_EQ(refused_.begin()->first, 2U) << "the only one of lower urgency";
+  refused_.clear();
+  queue_->Offer(MakeItem(id, Urgency::kNormal));
+  EXPECT_EQ(refused_.at(id), ErrorKind::kOverloaded);
+  queue_->Offer(MakeItem(id + 1, Urgency::kHigh));
+  EXPECT_EQ(refused_.at(id - 1), ErrorKind::kOverloaded);
+}
+
+// Guards against starvation of the less urgent, and against giving them more
+// than one dequeue in twenty.
+TEST_F(AdmissionQueueTest, OneDequeueInTwentyIsLessUrgent) {
+  queue_->Offer(MakeItem(1));
+  queue_->Offer(MakeItem(2, Urgency::kBackground));
+  queue_->Offer(MakeItem(3, Urgency::kNormal));
+  for (std::uint64_t id = 100; id < 160; ++id)
+    queue_->Offer(MakeItem(id, Urgency::kCritical));
+  while (finished_ < admitted_.size())
+    FinishOne();
+  ASSERT_EQ(admitted_.size(), 63U);
+  EXPECT_EQ(admitted_[20], 2U) << "the longest-waiting one";
+  EXPECT_EQ(admitted_[40], 3U);
+  EXPECT_EQ(admitted_[60], 157U);
+}
+
+// Guards against a withdrawn query being admitted or refused later.
+TEST_F(AdmissionQueueTest, WithdrawnQueryIsForgotten) {
+  queue_->Offer(MakeItem(1));
+  queue_->Offer(MakeItem(2));
+  EXPECT_TRUE(queue_->Withdraw(RequestId(2)));
+  EXPECT_FALSE(queue_->Withdraw(RequestId(2)));
+  EXPECT_FALSE(queue_->Withdraw(RequestId(1)));
+  FinishOne();
+  EXPECT_EQ(admitted_.size(), 1U);
+  EXPECT_TRUE(refused_.empty());
+}
+
+// Guards against a query of an undeclared service waiting for ever.
+TEST_F(AdmissionQueueTest, RefusesUndeclaredServices) {
+  AdmissionItem item = MakeItem(1);
+  item.service = ServiceName("unknown");
+  queue_->Offer(item);
+  EXPECT_EQ(refused_.at(1), ErrorKind::kNoUpstream);
+}
+
+// Guards against handlers that call back in the middle of a change.
+TEST_F(AdmissionQueueTest, HandlersMayCallBack) {
+  queue_->SetHandlers(
+      [this](RequestId id) {
+        admitted_.push_back(id.value());
+        if (id.value() > 1)
+          FinishOne();
+      },
+      [](RequestId, ErrorKind) {});
+  for (std::uint64_t id = 1; id <= 50; ++id)
+    queue_->Offer(MakeItem(id));
+  FinishOne();
+  EXPECT_EQ(admitted_.size(), 50U);
+  EXPECT_EQ(queue_->queued(), 0U);
+}
+
 }  // namespace
 }  // namespace jujubecove
