Use one congestion bound in all daemons and correct expected durations

Cause: 14% of the queries that were admitted at 3 times capacity were late, because the expected duration ignored the load; and a reference duration that each daemon measured itself led to unequal limits. Change: expected durations are stretched by the recent ratio; the latency signal is 5 times the document's latency for every daemon.

--- a/src/admission/in_flight_limit.cc
+++ b/src/admission/in_flight_limit.cc
@@ -24,13 +24,14 @@
                                Congestion congestion,
                                TimePoint admitted,
                                TimePoint now) {
-  if (congestion != Congestion::kNone) {
+  bool above_start = limit_ > start_;
+  if (congestion == Congestion::kRefused ||
+      (congestion == Congestion::kSlow && above_start)) {
     // Queries admitted before the last decrease met the same congestion.
     if (admitted <= decreased_at_)
       return;
     double floor = congestion == Congestion::kSlow ? start_ : 1.0;
-    limit_ = std::max(std::min(floor, limit_), limit_ * kDecrease);
-    limit_ = std::max(1.0, limit_);
+    limit_ = std::max(floor, limit_ * kDecrease);
     decreased_at_ = now;
     return;
   }
--- a/src/admission/service_queue.h
+++ b/src/admission/service_queue.h
@@ -20,11 +20,8 @@
   AdmissionItem item;
   TimePoint queued_at;
   std::uint64_t order = 0;
-
   // After this the deadline cannot be met any more.
-  TimePoint LatestStart() const {
-    return item.deadline - item.expected_duration;
-  }
+  TimePoint latest_start;
 };
 
 // The queued queries of one service: by urgency, and within an urgency by turns
--- a/src/admission/urgency_admission.cc
+++ b/src/admission/urgency_admission.cc
@@ -13,19 +13,17 @@
 // Bounds memory; in most cases the deadlines bound the queue before this.
 constexpr std::size_t kMostQueued = 1024;
 constexpr double kDurationWeight = 0.1;
+// Expected durations are corrected upwards by at most this factor, so that a
+// few very slow queries do not make every deadline look unmeetable.
+constexpr double kMostStretch = 4;
 // Share of refused attempts that shows congestion.
 constexpr double kRefusedShare = 0.05;
-// A smoothed duration over this multiple of the least one shows that queries
-// wait at the searchers. The multiples of the document's latency bound it,
-// since the least duration is a chance value that differs between daemons; a
-// query is as slow as the slowest of its shards, about three times a single
-// request.
-constexpr double kCongestedDuration = 2.5;
-constexpr double kLeastTimesExpected = 4;
-constexpr double kMostTimesExpected = 8;
-// Rise of the least duration for each query, so that it follows a lasting
-// change.
-constexpr double kBaseRise = 1.0001;
+// A smoothed duration over this multiple of the document's latency shows that
+// queries wait at the searchers: a query is as slow as the slowest of its
+// shards, about three times a single request. The bound must be the same in all
+// daemons. With the least duration that each has seen as the reference, those
+// that saw a short one yielded all capacity to the others.
+constexpr double kCongestedTimesExpected = 5;
 
 }  // namespace
 
@@ -70,12 +68,12 @@
   Service& service = *it->second;
   TimePoint now = timers_.Now();
   Duration wait = PredictWait(service, item);
-  if (now + wait + item.expected_duration > item.deadline) {
+  if (now + wait + PredictDuration(service, item) > item.deadline) {
     refuse_(item.request, ErrorKind::kDeadlineUnmeetable);
     return;
   }
   if (service.queue.size() == 0 && service.in_flight < service.limit.limit()) {
-    Admit(service, item.request);
+    Admit(service, item.request, item.expected_duration);
     return;
   }
   std::optional<QueuedQuery> displaced;
@@ -92,6 +90,13 @@
     refuse_(displaced->item.request, ErrorKind::kOverloaded);
 }
 
+Duration UrgencyAdmission::PredictDuration(const Service& service,
+                                           const AdmissionItem& item) const {
+  double stretch = std::clamp(service.stretch, 1.0, kMostStretch);
+  return Duration(static_cast<Duration::rep>(
+      stretch * static_cast<double>(item.expected_duration.count())));
+}
+
 Duration UrgencyAdmission::PredictWait(const Service& service,
                                        const AdmissionItem& item) const {
   if (service.queue.size() == 0 && service.in_flight < service.limit.limit())
@@ -105,15 +110,17 @@
       ahead * each / static_cast<double>(service.limit.limit())));
 }
 
-void UrgencyAdmission::Admit(Service& service, RequestId request) {
+void UrgencyAdmission::Admit(Service& service,
+                             RequestId request,
+                             Duration expected) {
   ++service.in_flight;
-  admitted_[request] = Admitted{&service, timers_.Now()};
+  admitted_[request] = Admitted{&service, timers_.Now(), expected};
   admit_(request);
 }
 
 void UrgencyAdmission::Enqueue(Service& service, const AdmissionItem& item) {
-  QueuedQuery query{item, timers_.Now(), next_order_++};
-  TimePoint latest = query.LatestStart();
+  TimePoint latest = item.deadline - PredictDuration(service, item);
+  QueuedQuery query{item, timers_.Now(), next_order_++, latest};
   queued_[item.request] = Queued{&service, latest};
   expiries_.emplace(latest, item.request);
   service.queue.Push(std::move(query));
@@ -135,24 +142,29 @@
   return true;
 }
 
-Congestion UrgencyAdmission::Judge(Service& service,
-                                   const AdmissionFeedback& feedback) const {
-  double duration =
-      std::max(1.0, static_cast<double>(feedback.duration.count()));
+void UrgencyAdmission::Observe(Service& service,
+                               const Admitted& admitted,
+                               Duration taken) const {
+  double duration = std::max(1.0, static_cast<double>(taken.count()));
   if (service.duration == 0)
     service.duration = duration;
   service.duration += kDurationWeight * (duration - service.duration);
-  if (service.base_duration == 0)
-    service.base_duration = service.duration;
-  service.base_duration =
-      std::min(service.base_duration * kBaseRise, service.duration);
-  if (!feedback.met_deadline ||
-      static_cast<double>(feedback.refused) >
-          kRefusedShare * static_cast<double>(feedback.attempts))
+  if (admitted.expected <= Duration(0))
+    return;
+  double ratio = duration / static_cast<double>(admitted.expected.count());
+  service.stretch += kDurationWeight * (ratio - service.stretch);
+}
+
+Congestion UrgencyAdmission::Judge(const Service& service,
+                                   const AdmissionFeedback& feedback) const {
+  double bound = kCongestedTimesExpected * service.expected_latency;
+  // A query that was admitted with little time left may be late without any
+  // congestion.
+  bool late = !feedback.met_deadline &&
+              static_cast<double>(feedback.duration.count()) > bound;
+  if (late || static_cast<double>(feedback.refused) >
+                  kRefusedShare * static_cast<double>(feedback.attempts))
     return Congestion::kRefused;
-  double bound = std::clamp(kCongestedDuration * service.base_duration,
-                            kLeastTimesExpected * service.expected_latency,
-                            kMostTimesExpected * service.expected_latency);
   return service.duration > bound ? Congestion::kSlow : Congestion::kNone;
 }
 
@@ -164,6 +176,7 @@
   Admitted admitted = it->second;
   admitted_.erase(it);
   Service& service = *admitted.service;
+  Observe(service, admitted, feedback.duration);
   Congestion congestion = Judge(service, feedback);
   service.limit.OnFinished(service.in_flight, congestion, admitted.admitted_at,
                            timers_.Now());
@@ -178,10 +191,10 @@
       return;
     RequestId request = query->item.request;
     Unlink(request);
-    if (query->LatestStart() < timers_.Now())
+    if (query->latest_start < timers_.Now())
       refuse_(request, ErrorKind::kDeadlineUnmeetable);
     else
-      Admit(service, request);
+      Admit(service, request, query->item.expected_duration);
   }
 }
 
--- a/src/admission/urgency_admission.h
+++ b/src/admission/urgency_admission.h
@@ -36,14 +36,16 @@
     std::size_t in_flight = 0;
     bool declared = false;
     double expected_latency = 0;
-    // Smoothed time that an admitted query takes, and a slowly rising minimum
-    // of it, in microseconds; zero before the first.
+    // Smoothed time that an admitted query takes, in microseconds; zero before
+    // the first.
     double duration = 0;
-    double base_duration = 0;
+    // Smoothed ratio of the time that queries take to the expected one.
+    double stretch = 1;
   };
   struct Admitted {
     Service* service = nullptr;
     TimePoint admitted_at;
+    Duration expected{};
   };
   struct Queued {
     Service* service = nullptr;
@@ -51,9 +53,16 @@
   };
   using Expiry = std::pair<TimePoint, RequestId>;
 
+  // The expected duration, corrected by how much longer recent queries took.
+  Duration PredictDuration(const Service& service,
+                           const AdmissionItem& item) const;
   Duration PredictWait(const Service& service, const AdmissionItem& item) const;
-  Congestion Judge(Service& service, const AdmissionFeedback& feedback) const;
-  void Admit(Service& service, RequestId request);
+  void Observe(Service& service,
+               const Admitted& admitted,
+               Duration duration) const;
+  Congestion Judge(const Service& service,
+                   const AdmissionFeedback& feedback) const;
+  void Admit(Service& service, RequestId request, Duration expected);
   void Enqueue(Service& service, const AdmissionItem& item);
   void Pump(Service& service);
   // Forgets the bookkeeping of a query that left its queue.
