--- /dev/null
+++ b/bench/routing_bench.cc
@@ -0,0 +1,158 @@
+// Cost of the router's decisions for one attempt at the design size: 110 shards
+// with 3 replicas.
+#include <benchmark/benchmark.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kernel/fake_timer_service.h"
+#include "routing/make_router.h"
+
+namespace jujubecove {
+namespace {
+
+constexpr std::size_t kShards = 110;
+constexpr std::size_t kReplicas = 3;
+constexpr double kAttemptBound = 2'000;
+constexpr double kSnapshotBound = 100'000;
+
+class Fleet {
+ public:
+  Fleet() : router_(MakeRouter(timers_, 1)) {
+    auto document = std::make_shared<Document>();
+    ServiceSpec& spec = document->services[service_];
+    spec.name = service_;
+    spec.slots = 16;
+    router_->SetDocument(document);
+    std::vector<ShardEntry> shards(kShards);
+    for (std::size_t n = 0; n < kShards; ++n) {
+      shards[n].id = ShardId("shard-" + std::to_string(n));
+      shards[n].range.from = n == 0 ? "" : std::to_string(1000 + n);
+      shards[n].range.to = n + 1 == kShards ? "" : std::to_string(1001 + n);
+      shard_ids_.push_back(shards[n].id);
+    }
+    router_->AddShardMap(service_,
+                         std::make_shared<const ShardMap>(
+                             ShardMap::Create(version_, shards).value()));
+    for (std::size_t n = 0; n < kShards * kReplicas; ++n)
+      Report(n, 7);
+  }
+
+  void Report(std::size_t searcher, std::uint64_t newest) {
+    SearcherReport report;
+    report.searcher =
+        SearcherId("10.0.0." + std::to_string(searcher) + ":8080");
+    report.service = service_;
+    report.holdings.push_back({version_,
+                               {shard_ids_[searcher / kReplicas]},
+                               {IndexVersion(newest), IndexVersion(6)}});
+    router_->ApplyReport(report);
+  }
+
+  // One attempt from the choice to the reply. The requests and replies are made
+  // beforehand, so that only the router is measured.
+  void Attempt(std::size_t shard) {
+    ChoiceRequest& choice_request = choice_requests_[shard];
+    Choice choice = router_->Choose(choice_request);
+    request_.attempt = AttemptId(next_attempt_++);
+    request_.searcher = std::move(choice.searcher);
+    router_->OnSend(request_, service_);
+    router_->OnFirstAttempt(service_);
+    timers_.Pause(Duration(50));
+    reply_.attempt = request_.attempt;
+    reply_.shard = choice_request.shard;
+    reply_.latency = Duration(6'000 + static_cast<std::int64_t>(shard));
+    router_->OnReply(reply_);
+  }
+
+  void Prepare() {
+    for (const ShardId& id : shard_ids_) {
+      ChoiceRequest request;
+      request.service = service_;
+      request.map_version = version_;
+      request.shard = id;
+      request.index_version = IndexVersion(7);
+      choice_requests_.push_back(request);
+    }
+    request_.map_version = version_;
+    request_.index_version = IndexVersion(7);
+    reply_.outcome = AttemptOutcome::kOk;
+    reply_.map_version = version_;
+    reply_.index_version = IndexVersion(7);
+    reply_.reported_in_flight = 1;
+  }
+
+  void PickSnapshot(std::uint64_t newest) {
+    // A changed report invalidates what was picked before.
+    Report(0, newest);
+    benchmark::DoNotOptimize(router_->PickSnapshot(service_, {}));
+  }
+
+ private:
+  FakeTimerService timers_;
+  ServiceName service_{"weighbridge"};
+  ShardMapVersion version_{3};
+  std::unique_ptr<Router> router_;
+  std::vector<ShardId> shard_ids_;
+  std::vector<ChoiceRequest> choice_requests_;
+  UpstreamRequest request_;
+  UpstreamReply reply_;
+  std::uint64_t next_attempt_ = 1;
+};
+
+void BM_Attempt(benchmark::State& state) {
+  Fleet fleet;
+  fleet.Prepare();
+  std::size_t shard = 0;
+  for (auto step : state) {
+    (void)step;
+    fleet.Attempt(shard);
+    shard = (shard + 1) % kShards;
+  }
+}
+BENCHMARK(BM_Attempt);
+
+void BM_PickSnapshot(benchmark::State& state) {
+  Fleet fleet;
+  std::uint64_t newest = 7;
+  for (auto step : state) {
+    (void)step;
+    fleet.PickSnapshot(newest);
+    newest = newest == 7 ? 8 : 7;
+  }
+}
+BENCHMARK(BM_PickSnapshot);
+
+// Prints each result in the form of the experiments.
+class Reporter : public benchmark::ConsoleReporter {
+ public:
+  void ReportRuns(const std::vector<Run>& runs) override {
+    for (const Run& run : runs) {
+      bool attempt = run.benchmark_name() == "BM_Attempt";
+      double bound = attempt ? kAttemptBound : kSnapshotBound;
+      double value = run.GetAdjustedCPUTime();
+      passed_ = passed_ && value <= bound;
+      std::printf("bench routing %s=%.0f target=%.0f %s\n",
+                  attempt ? "attempt_ns" : "pick_snapshot_ns", value, bound,
+                  value <= bound ? "ok" : "short");
+    }
+  }
+  bool passed() const { return passed_; }
+
+ private:
+  bool passed_ = true;
+};
+
+}  // namespace
+}  // namespace jujubecove
+
+int main(int argc, char** argv) {
+  benchmark::Initialize(&argc, argv);
+  jujubecove::Reporter reporter;
+  benchmark::RunSpecifiedBenchmarks(&reporter);
+  return reporter.passed() ? 0 : 1;
+}
