--- a/bench/cluster.cc
+++ b/bench/cluster.cc
@@ -36,6 +36,15 @@
 
 }  // namespace
 
+// Below the range from which the system draws ports of outgoing connections.
+std::uint16_t DefaultFirstPort() {
+  constexpr int kLowest = 12'000;
+  constexpr int kPortsPerProcess = 1'250;
+  constexpr int kProcesses = 16;
+  return static_cast<std::uint16_t>(kLowest +
+                                    getpid() % kProcesses * kPortsPerProcess);
+}
+
 Cluster::Cluster(const ClusterOptions& options) : options_(options) {
   directory_ = (std::filesystem::temp_directory_path() /
                 ("jujubecove-bench-" + std::to_string(getpid())))
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -12,6 +12,8 @@
 
 namespace jujubecove::bench {
 
+std::uint16_t DefaultFirstPort();
+
 struct ClusterOptions {
   // As for standin_searchers --services.
   std::vector<std::string> services;
@@ -21,9 +23,9 @@
   // Random replica, no hedges, no admission.
   bool baseline = false;
   std::size_t fleet_threads = 4;
-  // Ports from here on are used; experiments that run one after the other may
-  // share them.
-  std::uint16_t first_port = 24'000;
+  // Ports from here on are used. The default depends on the process, so that
+  // experiments of several checkouts can run at once.
+  std::uint16_t first_port = DefaultFirstPort();
   std::uint64_t seed = 1;
 };
 
