--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -4,6 +4,7 @@
 #include <iomanip>
 #include <sstream>
 
+#include "ctl/change_commands.h"
 #include "ctl/document_commands.h"
 #include "ctl/query_commands.h"
 
@@ -27,6 +28,9 @@
   commands.push_back(std::make_unique<CheckCommand>());
   commands.push_back(std::make_unique<DiffCommand>());
   commands.push_back(std::make_unique<ExplainCommand>());
+  commands.push_back(std::make_unique<ApplyCommand>());
+  commands.push_back(std::make_unique<RevertCommand>());
+  commands.push_back(std::make_unique<HistoryCommand>());
   commands.push_back(std::make_unique<QueryCommand>());
   commands.push_back(std::make_unique<StatusCommand>());
   return commands;
--- a/src/ctl/document_commands.cc
+++ b/src/ctl/document_commands.cc
@@ -1,12 +1,10 @@
 #include "ctl/document_commands.h"
 
 #include <boost/json.hpp>
-#include <fstream>
-#include <iterator>
 #include <optional>
 #include <sstream>
 
-#include "document/document_parser.h"
+#include "ctl/document_file.h"
 #include "document/document_text.h"
 
 namespace jujubecove {
@@ -14,49 +12,6 @@
 
 namespace json = boost::json;
 
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file)
-    return std::nullopt;
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
-void PrintFaults(const std::vector<SettingFault>& faults,
-                 const CommandContext& context) {
-  if (!context.json) {
-    for (const SettingFault& it : faults)
-      context.err << it.ToString() << "\n";
-    return;
-  }
-  json::array rows;
-  for (const SettingFault& it : faults) {
-    rows.push_back(json::object{{"file", it.file},
-                                {"line", it.line},
-                                {"section", it.section},
-                                {"key", it.key},
-                                {"message", it.message}});
-  }
-  context.PrintJson(json::object{{"faults", std::move(rows)}});
-}
-
-// Nothing after the faults were printed. `code` then says why.
-std::optional<Document> Load(const std::string& path,
-                             const CommandContext& context,
-                             ExitCode& code) {
-  std::optional<std::string> text = ReadFile(path);
-  if (!text) {
-    code = context.Fail(ExitCode::kUsage, "cannot read " + path);
-    return std::nullopt;
-  }
-  ParsedDocument parsed = ParseDocument(*text, path);
-  if (!parsed.ok()) {
-    PrintFaults(parsed.faults, context);
-    code = ExitCode::kRefused;
-    return std::nullopt;
-  }
-  return std::move(parsed.document);
-}
-
 std::string_view NameOf(DocumentChange::Type type) {
   switch (type) {
     case DocumentChange::Type::kAdded:
@@ -138,7 +93,7 @@
   if (arguments.size() != 1)
     return context.Fail(ExitCode::kUsage, "check takes one FILE");
   ExitCode code = ExitCode::kOk;
-  std::optional<Document> document = Load(arguments[0], context, code);
+  std::optional<Document> document = LoadDocument(arguments[0], context, code);
   if (!document)
     return code;
   ContentHash hash = HashOfText(CanonicalText(*document));
@@ -163,10 +118,10 @@
   if (arguments.size() != 2)
     return context.Fail(ExitCode::kUsage, "diff takes OLD and NEW");
   ExitCode code = ExitCode::kOk;
-  std::optional<Document> before = Load(arguments[0], context, code);
+  std::optional<Document> before = LoadDocument(arguments[0], context, code);
   if (!before)
     return code;
-  std::optional<Document> after = Load(arguments[1], context, code);
+  std::optional<Document> after = LoadDocument(arguments[1], context, code);
   if (!after)
     return code;
   std::vector<DocumentChange> changes =
@@ -192,7 +147,7 @@
   if (arguments.size() != 2)
     return context.Fail(ExitCode::kUsage, "explain takes FILE and KIND");
   ExitCode code = ExitCode::kOk;
-  std::optional<Document> document = Load(arguments[0], context, code);
+  std::optional<Document> document = LoadDocument(arguments[0], context, code);
   if (!document)
     return code;
   auto it = document->kinds.find(KindName(arguments[1]));
