--- a/src/ctl/change_commands.cc
+++ b/src/ctl/change_commands.cc
@@ -84,20 +84,26 @@
 }
 
 void PrintReport(const ApplyReport& report, std::ostream& out) {
-  out << "version " << report.version.value() << " (after "
-      << report.base.value() << "): ";
+  bool proposed = report.version != ConfigVersion();
+  if (proposed)
+    out << "version " << report.version.value() << " (after "
+        << report.base.value() << "): ";
+  else
+    out << "the change ";
   if (report.outcome == ApplyOutcome::kUnknown)
-    out << "unknown whether it is in force; run \"jujubecovectl history\"";
+    out << "is unknown to be in force; run \"jujubecovectl history\"";
   else if (report.outcome == ApplyOutcome::kNowhere)
-    out << "in force nowhere";
+    out << "is in force nowhere";
   else if (report.superseded)
     out << "was in force and has been superseded";
   else
-    out << (report.everywhere ? "in force everywhere"
-                              : "in force, not yet confirmed everywhere");
+    out << (report.everywhere ? "is in force everywhere"
+                              : "is in force, not yet confirmed everywhere");
   if (!report.reason.empty())
     out << ": " << report.reason;
   out << "\n";
+  if (!proposed)
+    return;
   for (const ZoneReport& it : report.zones)
     PrintZone(it, out);
 }
--- a/src/ctl/query_commands.cc
+++ b/src/ctl/query_commands.cc
@@ -30,6 +30,11 @@
     return "unknown";
   if (value->is_string())
     return std::string(value->as_string());
+  if (value->is_double()) {
+    std::ostringstream text;
+    text << value->as_double();
+    return text.str();
+  }
   return json::serialize(*value);
 }
 
