--- a/src/gather/fan_out.cc
+++ b/src/gather/fan_out.cc
@@ -132,8 +132,9 @@
                     const Choice& choice) {
   ShardRun& state = run->shards[shard];
   bool all_tried = !state.tried.empty();
-  // A replica that lost the version, and no other: a fresh choice is of no use.
-  bool lost_version = all_tried && state.lost_version;
+  // Nothing is left that holds the version and can be reached, but another
+  // version may be held by others.
+  bool lost_version = all_tried && state.lost_replica;
   switch (choice.status) {
     case ChoiceStatus::kChosen:
       state.probing = choice.probe;
@@ -202,7 +203,8 @@
 
 void FanOut::LoseVersion(const QueryRunPtr& run, std::size_t shard) {
   ShardRun& state = run->shards[shard];
-  state.cause = GapCause::kVersionUnavailable;
+  if (state.tried.empty())
+    state.cause = GapCause::kVersionUnavailable;
   state.tried.clear();
   DelayOrGap(run, shard);
 }
