--- /dev/null
+++ b/tests/unit/gather/simulation_test.cc
@@ -0,0 +1,54 @@
+#include <gtest/gtest.h>
+
+#include "tests/standin/at_most_once_simulation.h"
+#include "tests/standin/snapshot_simulation.h"
+
+namespace jujubecove::standin {
+namespace {
+
+class SimulationTest : public testing::TestWithParam<int> {
+ protected:
+  std::uint64_t seed() const { return static_cast<std::uint64_t>(GetParam()); }
+};
+
+// Guards against mixed versions and untrue coverage during roll-outs, and
+// against an engine that gives up while a common version exists. The share is
+// lower than in bench/snapshot_bench because one bad second weighs more here.
+TEST_P(SimulationTest, SnapshotsAreNeverMixed) {
+  SnapshotSimulationOptions options;
+  options.seed = seed();
+  options.queries = 2'000;
+  SnapshotSimulationResult result = SimulateSnapshots(options);
+  EXPECT_EQ(result.answered, options.queries);
+  EXPECT_EQ(result.mixed, 0U);
+  EXPECT_EQ(result.false_coverage, 0U);
+  EXPECT_GE(result.with_common_whole * 100, result.with_common * 95);
+}
+
+// Guards against a second effect and against untrue statements of execution
+// with losses, repeats, kills and pauses.
+TEST_P(SimulationTest, RecordsTakeEffectAtMostOnce) {
+  AtMostOnceOptions options;
+  options.seed = seed();
+  options.records = 2'000;
+  AtMostOnceResult result = SimulateAtMostOnce(options);
+  EXPECT_EQ(result.second_effects, 0U);
+  EXPECT_EQ(result.false_not_run, 0U);
+  EXPECT_EQ(result.false_ran, 0U);
+  EXPECT_GT(result.kills, 0U);
+  EXPECT_GT(result.known_not_run, 0U);
+  EXPECT_GE(result.known_ran * 10, result.records * 8);
+}
+
+// Guards against a simulation that could not detect a second effect.
+TEST(AtMostOnceBaselineTest, RetryingTierIsCaught) {
+  AtMostOnceOptions options;
+  options.records = 500;
+  options.tickets = false;
+  EXPECT_GT(SimulateAtMostOnce(options).second_effects, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SimulationTest, testing::Range(1, 6));
+
+}  // namespace
+}  // namespace jujubecove::standin
