Prefer other versions to one that a shard could not be read at

Cause: during a roll-out every query pinned the newest common version although its only holder in one shard was lost or slow, and failed or restarted there. Change: a version at which a shard had no reachable replica, or could not be hedged for lack of a second holder, is avoided for a second if there is another common version.

--- a/src/gather/engine_options.h
+++ b/src/gather/engine_options.h
@@ -22,6 +22,9 @@
   std::uint32_t max_delays = 5;
   // Times that a query starts again under another map or version.
   std::uint32_t max_restarts = 4;
+  // Other versions are preferred to one that a shard could not be read at, for
+  // this long. By then the searchers have taken up or dropped it.
+  Duration suspicion{1'000'000};
   // The back-off before the n-th repeat is drawn from the upper half of
   // first_delay x 2^n, up to most_delay.
   Duration first_delay{2'000};
--- a/src/gather/fan_out.cc
+++ b/src/gather/fan_out.cc
@@ -8,8 +8,8 @@
     : context_(context),
       settled_(std::move(settled)),
       sender_(context),
-      hedger_(context, sender_),
-      snapshots_(context) {}
+      snapshots_(context),
+      hedger_(context, sender_, snapshots_) {}
 
 FanOut::~FanOut() {
   context_.timers.Cancel(sweep_timer_);
@@ -193,6 +193,7 @@
 }
 
 bool FanOut::TryRestart(const QueryRunPtr& run) {
+  snapshots_.Suspect(*run);
   std::optional<SnapshotPin> pin = snapshots_.FindOther(*run);
   if (!pin)
     return false;
--- a/src/gather/fan_out.h
+++ b/src/gather/fan_out.h
@@ -64,8 +64,8 @@
   GatherContext& context_;
   SettledHandler settled_;
   AttemptSender sender_;
-  Hedger hedger_;
   SnapshotPolicy snapshots_;
+  Hedger hedger_;
   // Kept for good: services are few and their names come from the document.
   std::map<ServiceName, std::unique_ptr<ServiceWaits>> services_;
   TimerId sweep_timer_;
--- a/src/gather/hedger.cc
+++ b/src/gather/hedger.cc
@@ -17,8 +17,10 @@
 
 }  // namespace
 
-Hedger::Hedger(GatherContext& context, AttemptSender& sender)
-    : context_(context), sender_(sender) {}
+Hedger::Hedger(GatherContext& context,
+               AttemptSender& sender,
+               SnapshotPolicy& snapshots)
+    : context_(context), sender_(sender), snapshots_(snapshots) {}
 
 // A shard that was risked on an outlier need not wait.
 TimePoint Hedger::DueTime(const ShardRun& shard, Duration delay) {
@@ -88,6 +90,10 @@
   if (!context_.transport.HasRoomFor(1))
     return false;
   Choice choice = context_.router.Choose(request);
+  // Nobody else holds the version that a slow replica is asked for.
+  if (choice.status == ChoiceStatus::kNoReplica ||
+      choice.status == ChoiceStatus::kVersionUnavailable)
+    snapshots_.Suspect(*run);
   if (choice.status != ChoiceStatus::kChosen ||
       choice.searcher == request.tried.back() ||
       !context_.router.TryTakeRepeat(run->service->name))
--- a/src/gather/hedger.h
+++ b/src/gather/hedger.h
@@ -5,6 +5,7 @@
 #include "gather/attempt_sender.h"
 #include "gather/gather_context.h"
 #include "gather/query_run.h"
+#include "gather/snapshot_policy.h"
 
 namespace jujubecove {
 
@@ -12,7 +13,9 @@
 // of their query has answered.
 class Hedger {
  public:
-  Hedger(GatherContext& context, AttemptSender& sender);
+  Hedger(GatherContext& context,
+         AttemptSender& sender,
+         SnapshotPolicy& snapshots);
 
   // Must be called when a shard was answered or an attempt was sent.
   void OnProgress(const QueryRunPtr& run);
@@ -26,6 +29,7 @@
 
   GatherContext& context_;
   AttemptSender& sender_;
+  SnapshotPolicy& snapshots_;
 };
 
 }  // namespace jujubecove
--- a/src/gather/query_run.h
+++ b/src/gather/query_run.h
@@ -68,8 +68,15 @@
 
 // What is shared by the queries of one service.
 struct ServiceWaits {
+  // A version that some shard could not be read at lately.
+  struct Suspect {
+    SnapshotPin pin;
+    TimePoint until;
+  };
+
   ServiceName name;
   WaitList waits;
+  std::vector<Suspect> suspects;
 };
 
 // The state of one query from its submission to its answer.
--- a/src/gather/snapshot_policy.cc
+++ b/src/gather/snapshot_policy.cc
@@ -25,8 +25,7 @@
 PinStatus SnapshotPolicy::Pin(QueryRun& run) {
   std::size_t max_bytes = context_.options.max_result_bytes;
   if (run.spec->snapshot) {
-    std::optional<SnapshotPin> pin =
-        context_.router.PickSnapshot(run.service->name, {});
+    std::optional<SnapshotPin> pin = PickUnsuspected(*run.service);
     if (pin) {
       run.Reset(pin->map, pin->index_version, max_bytes);
       return PinStatus::kPinned;
@@ -40,6 +39,39 @@
   return run.spec->snapshot ? PinStatus::kNoVersion : PinStatus::kPinned;
 }
 
+std::optional<SnapshotPin> SnapshotPolicy::PickUnsuspected(
+    ServiceWaits& service) {
+  TimePoint now = context_.timers.Now();
+  std::erase_if(service.suspects, [now](const ServiceWaits::Suspect& it) {
+    return it.until <= now;
+  });
+  if (!service.suspects.empty()) {
+    std::vector<SnapshotPin> avoid;
+    for (const ServiceWaits::Suspect& it : service.suspects)
+      avoid.push_back(it.pin);
+    std::optional<SnapshotPin> pin =
+        context_.router.PickSnapshot(service.name, avoid);
+    if (pin)
+      return pin;
+  }
+  return context_.router.PickSnapshot(service.name, {});
+}
+
+void SnapshotPolicy::Suspect(const QueryRun& run) {
+  if (!run.pinned)
+    return;
+  SnapshotPin pin = PinOf(run);
+  TimePoint until = context_.timers.Now() + context_.options.suspicion;
+  for (ServiceWaits::Suspect& it : run.service->suspects) {
+    if (it.pin.map->version() == pin.map->version() &&
+        it.pin.index_version == pin.index_version) {
+      it.until = until;
+      return;
+    }
+  }
+  run.service->suspects.push_back(ServiceWaits::Suspect{pin, until});
+}
+
 std::optional<SnapshotPin> SnapshotPolicy::FindOther(
     const QueryRun& run) const {
   const ServiceName& service = run.service->name;
--- a/src/gather/snapshot_policy.h
+++ b/src/gather/snapshot_policy.h
@@ -23,10 +23,15 @@
   // when time or the number of restarts is spent, or when the request may
   // already have had an effect.
   std::optional<SnapshotPin> FindOther(const QueryRun& run) const;
+  // A shard of the query can't be read at the pinned version, or only slowly.
+  // Later queries use another common version if there is one.
+  void Suspect(const QueryRun& run);
   // Gives up the present map and version for `pin`.
   void Restart(QueryRun& run, const SnapshotPin& pin);
 
  private:
+  std::optional<SnapshotPin> PickUnsuspected(ServiceWaits& service);
+
   GatherContext& context_;
 };
 
--- a/tests/unit/gather/snapshot_test.cc
+++ b/tests/unit/gather/snapshot_test.cc
@@ -96,6 +96,21 @@
   EXPECT_EQ(Only().coverage.covered_count(), 4U);
 }
 
+// Guards against every query of a roll-out failing first at a version that one
+// shard can't be read at.
+TEST_F(GatherTest, LaterQueriesAvoidAVersionThatFailed) {
+  router_.replicas = 1;
+  Submit("snapshot");
+  Fail(0, AttemptOutcome::kConnectFailed, Execution::kNotRun);
+  ASSERT_EQ(transport_.sent.size(), 8U);
+  EXPECT_EQ(Sent(4).index_version, IndexVersion(4));
+  Submit("snapshot");
+  EXPECT_EQ(Sent(8).index_version, IndexVersion(4));
+  timers_.AdvanceBy(Duration(1'000'000));
+  Submit("snapshot");
+  EXPECT_EQ(Sent(12).index_version, IndexVersion(5));
+}
+
 // Guards, over random replies, against mixed versions, untrue coverage, lost or
 // repeated answers and attempts past the deadline.
 TEST_F(GatherTest, RandomRepliesNeverMixOrMisstate) {
