--- a/src/gather/fan_out_replies.cc
+++ b/src/gather/fan_out_replies.cc
@@ -92,7 +92,7 @@
   const QueryRunPtr& run = attempt.run;
   ShardRun& state = run->shards[attempt.shard];
   state.cause = rule.cause;
-  state.lost_version = rule.lost_version;
+  state.lost_replica = rule.lost_replica;
   state.tried.push_back(attempt.searcher);
   if (reply.outcome == AttemptOutcome::kRefusedBusy)
     ++run->refused;
--- a/src/gather/repeat_policy.cc
+++ b/src/gather/repeat_policy.cc
@@ -16,9 +16,9 @@
       return RuleForOtherVersion();
     case AttemptOutcome::kRefusedDraining:
     case AttemptOutcome::kRefusedCold:
-      return RepeatRule{GapCause::kRefused, true, false, false};
+      return RepeatRule{GapCause::kRefused, true, false, true};
     case AttemptOutcome::kConnectFailed:
-      return RepeatRule{GapCause::kNoReplica, true, false, false};
+      return RepeatRule{GapCause::kNoReplica, true, false, true};
     case AttemptOutcome::kNoConnection:
       return RepeatRule{GapCause::kRefused, false, false, false};
     case AttemptOutcome::kRefusedBusy:
