--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -130,7 +130,7 @@
   QuerySide& query = registry_.Find<QuerySide>(kQuery);
   Frontend& frontend = registry_.Find<Frontend>(kFrontend);
   UpstreamChannel& channel = registry_.Find<UpstreamSide>(kUpstream).channel();
-  registry_.Find<FrontendBridge>(kBridge).SetService(query.service());
+  registry_.Find<FrontendBridge>(kBridge).SetService(query.metered_service());
   query_to_frontend_ = MakeTaskRing(frontend_.context(), kStateMessages);
   query.Start([this, &frontend](FrontendState state) {
     return query_to_frontend_->TryPush(
--- a/src/daemon/query_side.cc
+++ b/src/daemon/query_side.cc
@@ -46,6 +46,7 @@
           EngineOptions(),
           options.seed + 1),
       service_(timers, engine_, *tickets_, forwarder, QueryServiceOptions()),
+      metered_service_(service_, timers, metrics),
       in_flight_(metrics.AddGauge("jujubecove_queries_in_flight",
                                   "Queries that have not been answered.")),
       queued_(metrics.AddGauge("jujubecove_admission_queued",
@@ -69,6 +70,7 @@
   router_->SetDocument(document_);
   admission_->SetDocument(*document_, live_daemons_);
   engine_.SetDocument(document_);
+  metered_service_.SetDocument(*document_);
   JJ_LOG(kConfig, INFO) << "document version " << document_->version.value()
                         << " is in force, " << document_->kinds.size()
                         << " kinds, " << document_->services.size()
--- a/src/daemon/query_side.h
+++ b/src/daemon/query_side.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "admission/admission_queue.h"
+#include "daemon/metered_query_service.h"
 #include "document/document.h"
 #include "frontend/frontend.h"
 #include "gather/query_engine_impl.h"
@@ -46,6 +47,8 @@
   void Start(StateHandler handler);
 
   QueryServiceImpl& service() { return service_; }
+  // For the callers of this daemon.
+  QueryService& metered_service() { return metered_service_; }
   Router& router() { return *router_; }
 
   // The following run on the query thread.
@@ -68,6 +71,7 @@
   std::unique_ptr<TicketTable> tickets_;
   QueryEngineImpl engine_;
   QueryServiceImpl service_;
+  MeteredQueryService metered_service_;
   StateHandler state_handler_;
   std::shared_ptr<const Document> document_;
   std::string config_reason_;
