Serve requests that cross with the shutdown

Cause: a request that arrived on an idle or just accepted connection after the listening socket was closed was dropped. Change: an idle connection is read for the linger time before it is closed. Conclusion: what remains is a request that crosses with the close itself, which HTTP/1.1 leaves open.

--- a/src/daemon/query_side.cc
+++ b/src/daemon/query_side.cc
@@ -130,12 +130,12 @@
     return true;
   std::size_t wanted = 0;
   std::size_t found = 0;
-  for (const auto& [name, service] : document_->services) {
+  for (const auto& it : document_->services) {
     bool listed = std::any_of(
         searchers_.begin(), searchers_.end(),
-        [&name](const SearcherVm& vm) { return vm.service == name; });
+        [&it](const SearcherVm& vm) { return vm.service == it.first; });
     wanted += listed ? 1 : 0;
-    found += listed && router_->CurrentMap(name) ? 1 : 0;
+    found += listed && router_->CurrentMap(it.first) ? 1 : 0;
   }
   bool patient = timers_.Now() - *first_listed_ < kMapPatience;
   was_ready_ = found > 0 && (found == wanted || !patient);
--- a/src/frontend/caller_connection.cc
+++ b/src/frontend/caller_connection.cc
@@ -282,11 +282,9 @@
   dispatched_ = false;
   state_ = State::kReading;
   timed_state_ = RequestReader::State::kEmpty;
-  SetTimer(host_.limits().idle_time);
-  if (host_.draining() && buf_.size() == 0)
-    Drain();
-  else
-    Advance();
+  SetTimer(host_.stopping() ? host_.limits().linger_time
+                            : host_.limits().idle_time);
+  Advance();
 }
 
 // Closing at once while bytes are unread would reset the connection, and the
@@ -300,11 +298,15 @@
   WatchForBytes();
 }
 
+// The caller can't know yet that no further request is wanted: one that is on
+// its way is still served.
 void CallerConnection::Drain() {
-  if (state_ != State::kReading ||
-      reader_.state() != RequestReader::State::kEmpty || buf_.size() > 0)
-    return;
-  // A request that has arrived already is still served.
+  if (state_ == State::kReading &&
+      reader_.state() == RequestReader::State::kEmpty)
+    SetTimer(host_.limits().linger_time);
+}
+
+void CallerConnection::CloseIdle() {
   error_code ec;
   std::size_t n = socket_.read_some(buf_.prepare(kReadBytes), ec);
   buf_.commit(n);
@@ -339,6 +341,8 @@
   else if (state_ == State::kReading &&
            reader_.state() == RequestReader::State::kBody)
     Fail(ErrorKind::kRequestTimeout, "the body did not arrive in time");
+  else if (state_ == State::kReading)
+    CloseIdle();
   else if (state_ != State::kWaiting)
     Close();
 }
--- a/src/frontend/caller_connection.h
+++ b/src/frontend/caller_connection.h
@@ -38,8 +38,8 @@
   void Start();
   // Answers with an error without reading anything, and closes.
   void Refuse(ErrorKind kind, const std::string& detail);
-  // Closes the connection unless a request is in progress, in which case its
-  // answer closes it.
+  // Closes the connection after the linger time unless a request arrives until
+  // then or is in progress, in which case its answer closes it.
   void Drain();
   // Closes the connection now. True when a request was cut off.
   bool CutOff();
@@ -73,6 +73,7 @@
   void Write(RenderedAnswer answer, const char* content_type, bool close);
   void OnWritten(bool close);
   void AwaitNextRequest();
+  void CloseIdle();
   void OnEndOfStream();
   void FinishSpan(int http_status);
   void Linger();
--- a/src/frontend/connection_host.h
+++ b/src/frontend/connection_host.h
@@ -32,6 +32,8 @@
   virtual Tracer& tracer() = 0;
   // Whether answers end their connection, because the daemon is leaving.
   virtual bool draining() const = 0;
+  // Whether idle connections are closed soon.
+  virtual bool stopping() const = 0;
   // Answers an endpoint other than kQuery and kTickets.
   virtual LocalAnswer AnswerLocally(Endpoint endpoint) = 0;
 
--- a/src/frontend/frontend.cc
+++ b/src/frontend/frontend.cc
@@ -159,6 +159,7 @@
 
 void Frontend::StopAccepting(std::function<void()> drained) {
   draining_ = true;
+  stopping_ = true;
   for (const std::unique_ptr<Listener>& listener : listeners_) {
     if (listener->role != ListenerRole::kCallers ||
         !listener->acceptor.is_open())
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -61,8 +61,8 @@
   // Connections are still accepted.
   void BeginDrain();
   // Second step: takes the connections that are waiting to be accepted, accepts
-  // no more, closes idle ones and calls `drained` when every request has been
-  // answered. The operations address stays open.
+  // no more, closes those that stay idle and calls `drained` when every request
+  // has been answered. The operations address stays open.
   void StopAccepting(std::function<void()> drained);
   // Closes everything and returns the number of requests that were cut off.
   std::size_t CloseAll();
@@ -75,6 +75,7 @@
   FrontendBridge& bridge() override { return bridge_; }
   Tracer& tracer() override { return tracer_; }
   bool draining() const override { return draining_; }
+  bool stopping() const override { return stopping_; }
   LocalAnswer AnswerLocally(Endpoint endpoint) override;
   void OnRequest(Endpoint endpoint) override;
   void OnAnswered(int http_status, Duration duration) override;
@@ -113,6 +114,7 @@
   FrontendIdentity identity_;
   FrontendState state_;
   bool draining_ = false;
+  bool stopping_ = false;
   std::uint64_t next_connection_ = 1;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::unordered_map<std::uint64_t, Entry> connections_;
--- a/tests/unit/frontend/frontend_lifecycle_test.cc
+++ b/tests/unit/frontend/frontend_lifecycle_test.cc
@@ -168,17 +168,19 @@
 }
 
 // Guards against a shutdown that cuts off requests or never ends: requests that
-// are being read, wait for an answer or wait to be accepted are served.
+// are being read, wait for an answer, wait to be accepted or arrive on an idle
+// connection just then are served.
 TEST_F(FrontendLifecycleTest, DrainsWithoutCuttingOff) {
   StartFrontend();
   service_.echo = false;
   std::unique_ptr<tcp::socket> idle = Connect();
   std::unique_ptr<tcp::socket> waiting = Connect();
   std::unique_ptr<tcp::socket> half = Connect();
+  std::unique_ptr<tcp::socket> crossing = Connect();
   Send(*waiting, kQuery);
   Send(*half, std::string(kQuery).substr(0, 20));
   ASSERT_TRUE(AwaitRequests(1));
-  Settle(3);
+  Settle(4);
   frontend_->BeginDrain();
   std::unique_ptr<tcp::socket> pending = Connect();
   boost::asio::write(*pending, boost::asio::buffer(std::string(kQuery)));
@@ -188,15 +190,17 @@
   tcp::socket late(client_context_);
   late.connect(callers_, ec);
   EXPECT_EQ(ec, boost::asio::error::connection_refused);
+  Send(*crossing, kQuery);
+  Send(*half, std::string(kQuery).substr(20));
+  ASSERT_TRUE(AwaitRequests(4));
+  timers_.AdvanceBy(limits_.linger_time);
   EXPECT_TRUE(IsClosed(*idle));
   idle->close();
-  Send(*half, std::string(kQuery).substr(20));
-  ASSERT_TRUE(AwaitRequests(3));
-  timers_.AdvanceBy(std::chrono::milliseconds(100));
   EXPECT_FALSE(drained);
   for (const QueryRequest& request : service_.requests)
     service_.Answer(request.id, "answer");
-  for (tcp::socket* caller : {waiting.get(), half.get(), pending.get()}) {
+  for (tcp::socket* caller :
+       {waiting.get(), half.get(), pending.get(), crossing.get()}) {
     std::optional<CallerReply> reply = Receive(*caller);
     ASSERT_TRUE(reply.has_value());
     EXPECT_EQ(reply->body, "answer");
