--- a/tests/unit/routing/router_test.cc
+++ b/tests/unit/routing/router_test.cc
@@ -59,7 +59,7 @@
 // and against lost ones that stay in use for ever.
 TEST_F(RouterTest, MissingFromOneListKeepsServing) {
   Start(1, 3);
-  std::vector<VmRecord> two(vms_.begin(), vms_.begin() + 2);
+  std::vector<SearcherVm> two(vms_.begin(), vms_.begin() + 2);
   router_.ApplyVmList(two);
   EXPECT_GT(Chosen(90, 3)[2], 0);
   timers_.AdvanceBy(Duration(10'000'001));
