Compare admission policies and test a wrong latency in the document

Cause: the admission queue had not been measured against simpler ones. Change: policy_bench runs first-in-first-out, last-in-first-out and fixed-limit queues in the simulated service; a test gives a tenth and ten times the real latency in the document. Conclusion: the bounds hold with a latency that is wrong by 10 times.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -4,9 +4,12 @@
 #include <cstdio>
 #include <cstdlib>
 #include <iterator>
+#include <memory>
 #include <string>
 
 #include "bench/policy_simulation.h"
+#include "bench/simple_admission.h"
+#include "unit/admission/simulated_service.h"
 
 namespace jujubecove {
 namespace {
@@ -80,6 +83,41 @@
   Print(("all_slow_repeats" + suffix).c_str(), slow.repeat_share(), 0.02);
 }
 
+void PrintOverload(const char* name, OverloadOptions options) {
+  options.load = 3;
+  OverloadResult result = SimulatedService(options).Run();
+  std::printf(
+      "overload %-16s urgent_answered=%.4f urgent_p99_ms=%.1f answered=%zu "
+      "late=%zu\n",
+      name,
+      static_cast<double>(result.urgent_answered) /
+          static_cast<double>(result.urgent),
+      ToMilliseconds(result.urgent_p99), result.answered, result.late);
+}
+
+void CompareAdmission(std::uint64_t seed) {
+  OverloadOptions options;
+  options.seed = seed;
+  PrintOverload("urgency", options);
+  OverloadOptions fixed = options;
+  fixed.feedback = false;
+  PrintOverload("fixed_limit", fixed);
+  OverloadOptions none = options;
+  none.policy = AdmissionPolicy::kNone;
+  PrintOverload("none", none);
+  OverloadOptions simple = options;
+  for (SimpleAdmission::Order order :
+       {SimpleAdmission::Order::kFirstInFirstOut,
+        SimpleAdmission::Order::kLastInFirstOut}) {
+    simple.make_queue = [order](TimerService& timers) {
+      return std::make_unique<SimpleAdmission>(timers, order);
+    };
+    PrintOverload(
+        order == SimpleAdmission::Order::kFirstInFirstOut ? "fifo" : "lifo",
+        simple);
+  }
+}
+
 }  // namespace
 }  // namespace jujubecove
 
@@ -88,6 +126,7 @@
   SimulationOptions today;
   if (argc > 1)
     today.seed = std::strtoull(argv[1], nullptr, 10);
+  CompareAdmission(today.seed);
   for (const Policy& policy : kPolicies)
     Compare(today, policy);
   SimulationOptions large = today;
--- /dev/null
+++ b/bench/simple_admission.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <iterator>
+#include <utility>
+
+#include "admission/admission_queue.h"
+#include "kernel/timer_service.h"
+
+namespace jujubecove {
+
+// A bounded queue in one order under a fixed limit, without urgencies, to
+// compare with.
+class SimpleAdmission : public AdmissionQueue {
+ public:
+  enum class Order { kFirstInFirstOut, kLastInFirstOut };
+
+  SimpleAdmission(TimerService& timers, Order order)
+      : timers_(timers), order_(order) {}
+
+  void SetHandlers(AdmitHandler admit, RefuseHandler refuse) override {
+    admit_ = std::move(admit);
+    refuse_ = std::move(refuse);
+  }
+  void SetDocument(const Document& document,
+                   std::size_t live_daemons) override {
+    const ServiceSpec& spec = document.services.begin()->second;
+    limit_ =
+        std::max<std::size_t>(1, 2 * spec.replicas * spec.slots / live_daemons);
+  }
+  void Offer(const AdmissionItem& item) override {
+    if (queue_.size() >= kMostQueued) {
+      refuse_(item.request, ErrorKind::kOverloaded);
+      return;
+    }
+    queue_.push_back(item);
+    Pump();
+  }
+  bool Withdraw(RequestId) override { return false; }
+  void Finished(RequestId, const AdmissionFeedback&) override {
+    --in_flight_;
+    Pump();
+  }
+  std::size_t queued() const override { return queue_.size(); }
+
+ private:
+  static constexpr std::size_t kMostQueued = 1024;
+
+  void Pump() {
+    while (in_flight_ < limit_ && !queue_.empty()) {
+      bool first = order_ == Order::kFirstInFirstOut;
+      AdmissionItem item = first ? queue_.front() : queue_.back();
+      queue_.erase(first ? queue_.begin() : std::prev(queue_.end()));
+      if (item.deadline <= timers_.Now()) {
+        refuse_(item.request, ErrorKind::kDeadlineUnmeetable);
+        continue;
+      }
+      ++in_flight_;
+      admit_(item.request);
+    }
+  }
+
+  TimerService& timers_;
+  Order order_;
+  std::size_t limit_ = 1;
+  std::size_t in_flight_ = 0;
+  std::deque<AdmissionItem> queue_;
+  AdmitHandler admit_;
+  RefuseHandler refuse_;
+};
+
+}  // namespace jujubecove
--- a/tests/unit/admission/overload_test.cc
+++ b/tests/unit/admission/overload_test.cc
@@ -52,6 +52,16 @@
   ExpectBounds(more);
 }
 
+// Guards against a limit that depends on the latency which the document states.
+TEST(OverloadTest, WrongLatencyInTheDocumentIsHarmless) {
+  OverloadOptions lower;
+  lower.declared_latency_factor = 0.1;
+  ExpectBounds(lower);
+  OverloadOptions higher;
+  higher.declared_latency_factor = 10;
+  ExpectBounds(higher);
+}
+
 // Guards against a simulation in which the bounds would hold without
 // admission.
 TEST(OverloadTest, UrgentQueriesSufferWithoutAdmission) {
--- a/tests/unit/admission/simulated_service.h
+++ b/tests/unit/admission/simulated_service.h
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -32,6 +33,12 @@
   std::uint32_t declared_slots = 2;
   std::uint32_t slots = 2;
   Duration run{20'000'000};
+  // Whether the queues are told how queries ended, so that limits adapt.
+  bool feedback = true;
+  // Whether the document's latency is right, or this factor of it.
+  double declared_latency_factor = 1;
+  std::function<std::unique_ptr<AdmissionQueue>(TimerService&)> make_queue =
+      MakeAdmissionQueue;
   std::uint64_t seed = 1;
 };
 
@@ -59,8 +66,10 @@
     spec.name = service_;
     spec.replicas = kReplicas;
     spec.slots = options.declared_slots;
+    spec.expected_latency = Duration(
+        static_cast<Duration::rep>(10'000 * options.declared_latency_factor));
     for (std::size_t n = 0; n < options.daemons; ++n) {
-      queues_.push_back(MakeAdmissionQueue(timers_));
+      queues_.push_back(options.make_queue(timers_));
       queues_[n]->SetHandlers([this](RequestId id) { Try(id.value()); },
                               [this](RequestId id, ErrorKind) {
                                 ++result_.refused;
@@ -179,9 +188,11 @@
       return;
     AdmissionFeedback feedback;
     feedback.duration = timers_.Now() - query.admitted;
-    feedback.attempts = query.attempts;
-    feedback.refused = query.attempts - 1;
-    feedback.met_deadline = met;
+    if (options_.feedback) {
+      feedback.attempts = query.attempts;
+      feedback.refused = query.attempts - 1;
+      feedback.met_deadline = met;
+    }
     queues_[query.daemon]->Finished(RequestId(id), feedback);
   }
 
