--- a/src/ctl/change_commands.cc
+++ b/src/ctl/change_commands.cc
@@ -1,5 +1,6 @@
 #include "ctl/change_commands.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 #include <memory>
@@ -123,23 +124,19 @@
   return CodeOf(report);
 }
 
-// The version in force or an earlier one that the store still names.
-std::optional<VersionIdentity> FindVersion(const ActiveRecord& record,
-                                           ConfigVersion version) {
-  if (record.active.version == version)
-    return record.active;
-  for (const VersionIdentity& it : record.history) {
-    if (it.version == version)
-      return it;
-  }
-  return std::nullopt;
+bool IsListed(const ActiveRecord& record, ConfigVersion version) {
+  return record.active.version == version ||
+         std::any_of(record.history.begin(), record.history.end(),
+                     [version](const PastVersion& it) {
+                       return it.version == version;
+                     });
 }
 
 // The text of a version that was in force; `code` says why there is none.
-std::optional<StoredDocument> LoadVersion(StoreSession& session,
-                                          const std::string& text,
-                                          const CommandContext& context,
-                                          ExitCode& code) {
+std::optional<std::string> LoadVersion(StoreSession& session,
+                                       const std::string& text,
+                                       const CommandContext& context,
+                                       ExitCode& code) {
   std::optional<ConfigVersion> version = ParseVersion(text);
   if (!version) {
     code = context.Fail(ExitCode::kUsage, "not a version: " + text);
@@ -150,15 +147,12 @@
     code = context.Fail(ExitCode::kUnreachable, active.error().detail);
     return std::nullopt;
   }
-  std::optional<VersionIdentity> identity;
-  if (active.value())
-    identity = FindVersion(*active.value(), *version);
-  if (!identity) {
+  if (!active.value() || !IsListed(*active.value(), *version)) {
     code = context.Fail(ExitCode::kRefused,
                         "version " + text + " is not in the history");
     return std::nullopt;
   }
-  Result<StoredDocument> document = session.ReadDocument(*identity);
+  Result<std::string> document = session.ReadDocument(*version);
   if (!document) {
     code = context.Fail(ExitCode::kUnreachable, document.error().detail);
     return std::nullopt;
@@ -172,15 +166,18 @@
                   const CommandContext& context) {
   json::array versions;
   json::array zone_rows;
-  std::vector<VersionIdentity> identities = {record.active};
-  identities.insert(identities.end(), record.history.begin(),
-                    record.history.end());
-  for (const VersionIdentity& it : identities) {
+  std::vector<ConfigVersion> listed = {record.active.version};
+  for (const PastVersion& it : record.history)
+    listed.push_back(it.version);
+  for (ConfigVersion version : listed) {
+    bool in_force = version == record.active.version;
     versions.push_back(
-        json::object{{"version", it.version.value()}, {"sha256", it.sha256}});
+        json::object{{"version", version.value()}, {"in_force", in_force}});
     if (!context.json)
-      context.out << "version " << it.version.value() << "  " << it.sha256
-                  << (it == record.active ? "  in force" : "") << "\n";
+      context.out << "version " << version.value()
+                  << (in_force ? "  in force, sha256 " + record.active.sha256
+                               : "")
+                  << "\n";
   }
   for (const std::string& zone : zones) {
     ZoneRecord state = session.ReadZone(zone).value_or(ZoneRecord());
@@ -253,12 +250,12 @@
   if (!session)
     return context.Fail(ExitCode::kUsage, session.error().detail);
   ExitCode code = ExitCode::kOk;
-  std::optional<StoredDocument> document =
+  std::optional<std::string> document =
       LoadVersion(*session.value(), arguments[0], context, code);
   if (!document)
     return code;
   ApplyRequest request;
-  request.text = document->text;
+  request.text = std::move(*document);
   return ApplyText(*session.value(), std::move(request), context);
 }
 
@@ -276,10 +273,10 @@
     return context.Fail(ExitCode::kUsage, session.error().detail);
   if (!arguments.empty()) {
     ExitCode code = ExitCode::kOk;
-    std::optional<StoredDocument> document =
+    std::optional<std::string> document =
         LoadVersion(*session.value(), arguments[0], context, code);
     if (document)
-      context.out << document->text;
+      context.out << *document;
     return code;
   }
   Result<std::optional<ActiveRecord>> active = session.value()->ReadActive();
--- a/src/ctl/store_session.cc
+++ b/src/ctl/store_session.cc
@@ -63,16 +63,14 @@
   return record;
 }
 
-Result<StoredDocument> StoreSession::ReadDocument(
-    const VersionIdentity& identity) {
-  Result<StoreReply> reply = Read(DocumentKey(identity.version));
+Result<std::string> StoreSession::ReadDocument(ConfigVersion version) {
+  Result<StoreReply> reply = Read(DocumentKey(version));
   if (!reply)
     return reply.error();
   if (reply.value().status == StoreStatus::kNotFound)
-    return Error{
-        ErrorKind::kNotFound,
-        "no document of version " + std::to_string(identity.version.value())};
-  return StoredDocument{identity, std::move(reply.value().value)};
+    return Error{ErrorKind::kNotFound,
+                 "no document of version " + std::to_string(version.value())};
+  return std::move(reply.value().value);
 }
 
 Result<std::vector<std::string>> StoreSession::ReadZones() {
--- a/src/ctl/store_session.h
+++ b/src/ctl/store_session.h
@@ -15,12 +15,6 @@
 
 namespace jujubecove {
 
-// A version of the document as the store holds it.
-struct StoredDocument {
-  VersionIdentity identity;
-  std::string text;
-};
-
 // The platform's service, for one command: calls block until they are answered.
 class StoreSession {
  public:
@@ -29,7 +23,8 @@
   // The record of the version in force; absent while there is none. Repeats
   // reads that got no answer for a bounded time.
   Result<std::optional<ActiveRecord>> ReadActive();
-  Result<StoredDocument> ReadDocument(const VersionIdentity& identity);
+  // The canonical text of a version.
+  Result<std::string> ReadDocument(ConfigVersion version);
   // Names of all zones that have entry VMs.
   Result<std::vector<std::string>> ReadZones();
   std::optional<ZoneRecord> ReadZone(const std::string& zone);
