--- a/src/gather/fan_out.cc
+++ b/src/gather/fan_out.cc
@@ -8,8 +8,8 @@
     : context_(context),
       settled_(std::move(settled)),
       sender_(context),
-      hedger_(context, sender_),
-      snapshots_(context) {}
+      snapshots_(context),
+      hedger_(context, sender_, snapshots_) {}
 
 FanOut::~FanOut() {
   context_.timers.Cancel(sweep_timer_);
@@ -132,10 +132,12 @@
                     const Choice& choice) {
   ShardRun& state = run->shards[shard];
   bool all_tried = !state.tried.empty();
-  // A replica that lost the version, and no other: a fresh choice is of no use.
-  bool lost_version = all_tried && state.lost_version;
+  // Nothing is left that holds the version and can be reached, but another
+  // version may be held by others.
+  bool lost_version = all_tried && state.lost_replica;
   switch (choice.status) {
     case ChoiceStatus::kChosen:
+      state.probing = choice.probe;
       sender_.Send(run, shard, choice.searcher, false);
       return true;
     case ChoiceStatus::kAllBusy:
@@ -191,6 +193,7 @@
 }
 
 bool FanOut::TryRestart(const QueryRunPtr& run) {
+  snapshots_.Suspect(*run);
   std::optional<SnapshotPin> pin = snapshots_.FindOther(*run);
   if (!pin)
     return false;
@@ -201,7 +204,8 @@
 
 void FanOut::LoseVersion(const QueryRunPtr& run, std::size_t shard) {
   ShardRun& state = run->shards[shard];
-  state.cause = GapCause::kVersionUnavailable;
+  if (state.tried.empty())
+    state.cause = GapCause::kVersionUnavailable;
   state.tried.clear();
   DelayOrGap(run, shard);
 }
--- a/src/gather/hedger.h
+++ b/src/gather/hedger.h
@@ -5,6 +5,7 @@
 #include "gather/attempt_sender.h"
 #include "gather/gather_context.h"
 #include "gather/query_run.h"
+#include "gather/snapshot_policy.h"
 
 namespace jujubecove {
 
@@ -12,12 +13,15 @@
 // of their query has answered.
 class Hedger {
  public:
-  Hedger(GatherContext& context, AttemptSender& sender);
+  Hedger(GatherContext& context,
+         AttemptSender& sender,
+         SnapshotPolicy& snapshots);
 
   // Must be called when a shard was answered or an attempt was sent.
   void OnProgress(const QueryRunPtr& run);
 
  private:
+  static TimePoint DueTime(const ShardRun& shard, Duration delay);
   bool IsCandidate(const ShardRun& shard) const;
   void Arm(const QueryRunPtr& run);
   void Fire(const QueryRunPtr& run);
@@ -25,6 +29,7 @@
 
   GatherContext& context_;
   AttemptSender& sender_;
+  SnapshotPolicy& snapshots_;
 };
 
 }  // namespace jujubecove
--- a/src/gather/query_engine_impl.h
+++ b/src/gather/query_engine_impl.h
@@ -45,19 +45,20 @@
  private:
   QueryRunPtr MakeRun(QueryRequest request, AnswerHandler handler);
   void SetTimes(QueryRun& run);
+  void OfferOncePinnable(const QueryRunPtr& run);
   void Offer(const QueryRunPtr& run);
-  void Refuse(const QueryRunPtr& run, ErrorKind error);
+  void Refuse(const QueryRunPtr& run,
+              ErrorKind error,
+              GapCause cause = GapCause::kRefused);
   void OnAdmitted(RequestId request);
   void OnRefused(RequestId request, ErrorKind error);
   void OnCutoff(const QueryRunPtr& run);
   void StartAdmitted();
   void Finish(const QueryRunPtr& run);
-  void TraceSpan(const QueryRun& run,
-                 std::string_view name,
-                 std::uint64_t span,
-                 std::uint64_t parent,
-                 TimePoint start,
-                 std::string_view status);
+  void SetTrace(QueryRun& run);
+  void TraceQueue(const QueryRun& run);
+  void TraceAnswer(const QueryRun& run, const QueryAnswer& answer);
+  void Emit(const QueryRun& run, SpanRecord record, std::string_view status);
 
   AdmissionQueue& admission_;
   GatherContext context_;
--- a/src/gather/repeat_policy.h
+++ b/src/gather/repeat_policy.h
@@ -19,8 +19,9 @@
   // The repeat is paid from the budget. Repeats after a refusal that is no sign
   // of load, or after which nothing reached a searcher, are free.
   bool budgeted = true;
-  // The replica could not serve the map or the version.
-  bool lost_version = false;
+  // The replica is of no use to this query under its map and version, now or
+  // after a back-off.
+  bool lost_replica = false;
 };
 
 RepeatRule RuleFor(AttemptOutcome outcome);
--- a/src/upstream/http_upstream_transport.h
+++ b/src/upstream/http_upstream_transport.h
@@ -56,6 +56,8 @@
 
   // Can be read by any thread.
   const UpstreamStats& upstream_stats() const { return stats; }
+  // For the parts of the subsystem that run on the upstream thread.
+  UpstreamStats& upstream_stats() { return stats; }
   // Connections to one searcher, including those being set up.
   std::size_t ConnectionCount(const SearcherId& searcher) const;
 
@@ -81,6 +83,7 @@
   std::vector<UpstreamReply> flushing_;
   bool flush_posted_ = false;
   TimerId sweep_timer_;
+  TimePoint sweep_due_{};
   ReplyHandler reply_handler_;
   ContactHandler contact_handler_;
   SearcherHandler searcher_handler_;
