Leave out rarely used fields of exchanges

Each exchange carried fields that only a list comparison or a rejected document needs. As optional fields they cost nothing otherwise.

--- a/src/config/config_agent.cc
+++ b/src/config/config_agent.cc
@@ -98,7 +98,8 @@
   state.proposed_hash = static_cast<std::int64_t>(proposal_.hash);
   DocumentCache::Held held = cache_.Find(proposal_.version);
   state.staged = held != nullptr && held->hash.fast == proposal_.hash;
-  state.rejection = rejection_;
+  if (!rejection_.empty())
+    state.__set_rejection(rejection_);
   return state;
 }
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -117,7 +117,7 @@
   if (message.sync) {
     bool more = false;
     reply.changes = table_.Page(message.sync_after, options_.page_size, more);
-    reply.sync_more = more;
+    reply.__set_sync_more(more);
   }
   NotifyIfChanged();
   return reply;
@@ -189,8 +189,8 @@
 
 void Membership::Sync(const std::string& address, std::int64_t after) {
   wire::ExchangeMessage message = MakeMessage();
-  message.sync = true;
-  message.sync_after = after;
+  message.__set_sync(true);
+  message.__set_sync_after(after);
   std::weak_ptr<bool> alive = alive_;
   transport_.Exchange(
       address, message,
--- a/src/peer/gen-cpp/jujubecove_types.cpp
+++ b/src/peer/gen-cpp/jujubecove_types.cpp
@@ -286,6 +286,7 @@
 
 void ConfigState::__set_rejection(const std::string& val) {
   this->rejection = val;
+__isset.rejection = true;
 }
 std::ostream& operator<<(std::ostream& out, const ConfigState& obj)
 {
@@ -400,10 +401,11 @@
   xfer += oprot->writeBool(this->staged);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rejection", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->rejection);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.rejection) {
+    xfer += oprot->writeFieldBegin("rejection", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->rejection);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -466,7 +468,7 @@
   out << ", " << "proposed_version=" << to_string(proposed_version);
   out << ", " << "proposed_hash=" << to_string(proposed_hash);
   out << ", " << "staged=" << to_string(staged);
-  out << ", " << "rejection=" << to_string(rejection);
+  out << ", " << "rejection="; (__isset.rejection ? (out << to_string(rejection)) : (out << "<null>"));
   out << ")";
 }
 
@@ -489,14 +491,17 @@
 
 void ExchangeMessage::__set_sync(const bool val) {
   this->sync = val;
+__isset.sync = true;
 }
 
 void ExchangeMessage::__set_sync_after(const int64_t val) {
   this->sync_after = val;
+__isset.sync_after = true;
 }
 
 void ExchangeMessage::__set_sync_more(const bool val) {
   this->sync_more = val;
+__isset.sync_more = true;
 }
 
 void ExchangeMessage::__set_config(const ConfigState& val) {
@@ -635,18 +640,21 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sync", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->sync);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sync_after", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->sync_after);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sync_more", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->sync_more);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.sync) {
+    xfer += oprot->writeFieldBegin("sync", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->sync);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.sync_after) {
+    xfer += oprot->writeFieldBegin("sync_after", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->sync_after);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.sync_more) {
+    xfer += oprot->writeFieldBegin("sync_more", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->sync_more);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 7);
   xfer += this->config.write(oprot);
   xfer += oprot->writeFieldEnd();
@@ -716,9 +724,9 @@
   out << "sender=" << to_string(sender);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "digest=" << to_string(digest);
-  out << ", " << "sync=" << to_string(sync);
-  out << ", " << "sync_after=" << to_string(sync_after);
-  out << ", " << "sync_more=" << to_string(sync_more);
+  out << ", " << "sync="; (__isset.sync ? (out << to_string(sync)) : (out << "<null>"));
+  out << ", " << "sync_after="; (__isset.sync_after ? (out << to_string(sync_after)) : (out << "<null>"));
+  out << ", " << "sync_more="; (__isset.sync_more ? (out << to_string(sync_more)) : (out << "<null>"));
   out << ", " << "config=" << to_string(config);
   out << ")";
 }
--- a/src/peer/gen-cpp/jujubecove_types.h
+++ b/src/peer/gen-cpp/jujubecove_types.h
@@ -192,7 +192,9 @@
       return false;
     if (!(staged == rhs.staged))
       return false;
-    if (!(rejection == rhs.rejection))
+    if (__isset.rejection != rhs.__isset.rejection)
+      return false;
+    else if (__isset.rejection && !(rejection == rhs.rejection))
       return false;
     return true;
   }
@@ -270,11 +272,17 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
-    if (!(sync == rhs.sync))
+    if (__isset.sync != rhs.__isset.sync)
+      return false;
+    else if (__isset.sync && !(sync == rhs.sync))
+      return false;
+    if (__isset.sync_after != rhs.__isset.sync_after)
+      return false;
+    else if (__isset.sync_after && !(sync_after == rhs.sync_after))
       return false;
-    if (!(sync_after == rhs.sync_after))
+    if (__isset.sync_more != rhs.__isset.sync_more)
       return false;
-    if (!(sync_more == rhs.sync_more))
+    else if (__isset.sync_more && !(sync_more == rhs.sync_more))
       return false;
     if (!(config == rhs.config))
       return false;
--- a/src/peer/jujubecove.thrift
+++ b/src/peer/jujubecove.thrift
@@ -33,8 +33,9 @@
   4: i64 proposed_hash
   // Whether it holds the proposed document, checked and valid.
   5: bool staged
-  // Why the proposed document can't be used; empty if it can.
-  6: string rejection
+  // Why the proposed document can't be used; absent if it can. Fields that are
+  // rarely needed are optional, because each exchange carries the others.
+  6: optional string rejection
 }
 
 struct ExchangeMessage {
@@ -44,10 +45,10 @@
   // Of the sender's whole member list, to notice a difference.
   3: i64 digest
   // Asks for the member list after `sync_after`, in the order of incarnations.
-  4: bool sync
-  5: i64 sync_after
+  4: optional bool sync
+  5: optional i64 sync_after
   // In a reply to `sync`: whether the list goes on after the last change.
-  6: bool sync_more
+  6: optional bool sync_more
   7: ConfigState config
 }
 
--- a/tests/unit/peer/peer_codec_test.cc
+++ b/tests/unit/peer/peer_codec_test.cc
@@ -28,7 +28,7 @@
     message.changes.push_back(member);
   }
   message.config.active_version = *rc::gen::arbitrary<std::int64_t>();
-  message.config.rejection = *rc::gen::arbitrary<std::string>();
+  message.config.__set_rejection(*rc::gen::arbitrary<std::string>());
   return message;
 }
 
