--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -104,7 +104,7 @@
   std::uint64_t next_attempt_ = 1;
 };
 
-void BM_Attempt(benchmark::State& state) {
+void MeasureAttempt(benchmark::State& state) {
   Fleet fleet;
   fleet.Prepare();
   std::size_t shard = 0;
@@ -114,9 +114,9 @@
     shard = (shard + 1) % kShards;
   }
 }
-BENCHMARK(BM_Attempt);
+BENCHMARK(MeasureAttempt);
 
-void BM_PickSnapshot(benchmark::State& state) {
+void MeasurePickSnapshot(benchmark::State& state) {
   Fleet fleet;
   std::uint64_t newest = 7;
   for (auto step : state) {
@@ -125,14 +125,14 @@
     newest = newest == 7 ? 8 : 7;
   }
 }
-BENCHMARK(BM_PickSnapshot);
+BENCHMARK(MeasurePickSnapshot);
 
 // Prints each result in the form of the experiments.
 class Reporter : public benchmark::ConsoleReporter {
  public:
   void ReportRuns(const std::vector<Run>& runs) override {
     for (const Run& run : runs) {
-      bool attempt = run.benchmark_name() == "BM_Attempt";
+      bool attempt = run.benchmark_name() == "MeasureAttempt";
       double bound = attempt ? kAttemptBound : kSnapshotBound;
       double value = run.GetAdjustedCPUTime();
       passed_ = passed_ && value <= bound;
--- a/tests/unit/routing/connection_shares_test.cc
+++ b/tests/unit/routing/connection_shares_test.cc
@@ -208,12 +208,11 @@
 
   void Adjust(const std::string& id, Daemon& daemon) {
     std::size_t share = daemon.shares->ShareOf(kZone, limit_);
-    if (daemon.connections <= share) {
-      daemon.connections = share;
-      daemon.close_at = TimePoint();
-    } else if (daemon.close_at == TimePoint()) {
+    bool closing = daemon.close_at != TimePoint();
+    if (daemon.connections > share && !closing) {
       daemon.close_at = timers_.Now() + Delay(kClosing);
-    } else if (timers_.Now() >= daemon.close_at) {
+    } else if (daemon.connections <= share ||
+               timers_.Now() >= daemon.close_at) {
       daemon.connections = share;
       daemon.close_at = TimePoint();
     }
