Probe an ejected searcher again when a probe was lost

Cause: found by reading: a probe that was chosen but not sent, or that ended as silent, refused or without a connection, left the searcher marked as being probed, so it was never probed again. Change: the next probe is due after the present period in any case. Conclusion: no ejection lasts for ever.

--- a/src/routing/adaptive_router.cc
+++ b/src/routing/adaptive_router.cc
@@ -189,6 +189,9 @@
     directory_.OnDrainSign(attempt.searcher, now);
   TakeLoad(reply, searcher, now);
   TakeOutcome(reply, attempt, now);
+  // An outcome that tells nothing of the searcher leaves it as it was.
+  if (attempt.probe)
+    searcher.ejection.EndProbe();
   --searcher.in_flight;
 }
 
--- a/src/routing/outlier_ejection.h
+++ b/src/routing/outlier_ejection.h
@@ -17,11 +17,9 @@
   void Lift(TimePoint now);
 
   bool ejected() const { return ejected_; }
-  bool IsProbeDue(TimePoint now) const {
-    return ejected_ && !probing_ && now >= probe_at_;
-  }
-  // A probe was chosen. If its reply never comes, another is due after the
-  // present period.
+  bool IsProbeDue(TimePoint now) const { return ejected_ && now >= probe_at_; }
+  // A probe was chosen. Another is due after the present period, whether this
+  // one is sent and answered or not.
   void BeginProbe(TimePoint now);
   bool probing() const { return probing_; }
   void EndProbe() { probing_ = false; }
--- a/tests/unit/routing/router_test.cc
+++ b/tests/unit/routing/router_test.cc
@@ -210,6 +210,33 @@
   EXPECT_GT(serve(100, kUsual), 10);
 }
 
+// Guards against a searcher that stays ejected for ever because its probe was
+// not sent, or ended in a way that tells nothing of the searcher.
+TEST_F(RouterTest, LostProbeIsFollowedByAnother) {
+  Start(1, 3);
+  for (int n = 0; n < 3; ++n)
+    Run(IdOf(0, 0), Duration(100), AttemptOutcome::kFailed);
+  ASSERT_EQ(router_.ejected_count(), 1U);
+  auto next_probe = [this] {
+    for (int n = 0; n < 2'000; ++n) {
+      timers_.AdvanceBy(Duration(10'000));
+      router_.OnFirstAttempt(service_);
+      Choice choice = router_.Choose(Ask());
+      if (choice.probe && choice.searcher == IdOf(0, 0))
+        return true;
+      Run(choice.searcher);
+    }
+    return false;
+  };
+  ASSERT_TRUE(next_probe());
+  ASSERT_TRUE(next_probe()) << "the first was not sent";
+  Run(IdOf(0, 0), kUsual, AttemptOutcome::kSilent);
+  EXPECT_EQ(router_.ejected_count(), 1U);
+  ASSERT_TRUE(next_probe());
+  Run(IdOf(0, 0));
+  EXPECT_EQ(router_.ejected_count(), 0U);
+}
+
 // Guards against reports of ill health that take a working searcher, or a whole
 // pool, out of use.
 TEST_F(RouterTest, UnhealthyReportsCannotEmptyAPool) {
