--- a/src/gather/query_run.h
+++ b/src/gather/query_run.h
@@ -43,8 +43,8 @@
   std::uint32_t delays = 0;
   // The next attempt is a repeat that has to be paid from the budget.
   bool owes_token = false;
-  // The last failure was that a replica could not serve the version.
-  bool lost_version = false;
+  // The last replica that failed is of no use under the map and version.
+  bool lost_replica = false;
   // The first attempt went to an outlier that is tried again.
   bool probing = false;
   // Counted once for the feedback to admission.
@@ -68,8 +68,15 @@
 
 // What is shared by the queries of one service.
 struct ServiceWaits {
+  // A version that some shard could not be read at lately.
+  struct Suspect {
+    SnapshotPin pin;
+    TimePoint until;
+  };
+
   ServiceName name;
   WaitList waits;
+  std::vector<Suspect> suspects;
 };
 
 // The state of one query from its submission to its answer.
