--- a/src/routing/replica_selector.cc
+++ b/src/routing/replica_selector.cc
@@ -51,7 +51,9 @@
     if (!directory_.IsPresent(searcher, now))
       continue;
     ++pool.present;
-    if (!searcher.ejection.ejected())
+    // A replica that can't be connected to serves nobody, so it must not keep
+    // an ejected one out.
+    if (!searcher.ejection.ejected() && !searcher.unreachable)
       ++pool.active;
   }
   return pool;
