--- a/tests/fuzz/reply_fuzz.cc
+++ b/tests/fuzz/reply_fuzz.cc
@@ -121,21 +121,26 @@
       "Jujubecove-Shard: s0\r\nJujubecove-Shard-Map: 7\r\n"
       "Jujubecove-Index-Version: 41\r\nJujubecove-Load: 1/2\r\n"
       "Jujubecove-Report: 9\r\n";
-  return {
-      head + "Content-Length: 5\r\n\r\n[1,2]",
-      head +
-          "Transfer-Encoding: chunked\r\n\r\n3;x=y\r\n[1,\r\n2\r\n2]\r\n"
-          "0\r\nTrailer: 1\r\n\r\n",
-      head + "Content-Length: 0\r\nConnection: close\r\n\r\n",
+  const std::string refusal =
       "HTTP/1.1 503 Unavailable\r\nJujubecove-Attempt: abc-5-1\r\n"
       "Jujubecove-Not-Run: draining\r\nJujubecove-Draining: 1\r\n"
-      "Content-Length: 0\r\n\r\n",
-      "HTTP/1.0 204 No Content\r\n\r\n",
-      "0\r\n\r\n",
+      "Content-Length: 0\r\n\r\n";
+  const std::string chunks =
+      "Transfer-Encoding: chunked\r\n\r\n3;x=y\r\n[1,\r\n2\r\n2]\r\n"
+      "0\r\nTrailer: 1\r\n\r\n";
+  const std::string report =
       R"({"service":"s","holdings":[{"map":7,"shards":["s0"],)"
       R"("index_versions":[41,42]}],"slots":2,"in_flight":0,)"
-      R"("draining":false,"healthy":true,"generation":3})",
+      R"("draining":false,"healthy":true,"generation":3})";
+  const std::string map =
       R"({"version":7,"shards":[{"id":"s0","from":"","to":"h"},)"
-      R"({"id":"s1","from":"h","to":""}]})",
-  };
+      R"({"id":"s1","from":"h","to":""}]})";
+  return {head + "Content-Length: 5\r\n\r\n[1,2]",
+          head + chunks,
+          head + "Content-Length: 0\r\nConnection: close\r\n\r\n",
+          refusal,
+          "HTTP/1.0 204 No Content\r\n\r\n",
+          "0\r\n\r\n",
+          report,
+          map};
 }
