Test that an answered ping is what extends the silence bound

Since the short bound needs another searcher that replies, the test passed without the ping too. It now has such a searcher; removing the evidence of the ping makes it fail.

--- a/tests/unit/upstream/silence_test.cc
+++ b/tests/unit/upstream/silence_test.cc
@@ -178,17 +178,24 @@
 // searcher answers a ping on a connection just as old.
 TEST_F(SilenceTest, AnsweredPingExtendsTheBound) {
   RawSearcher& searcher = AddSearcher(AnswersUnlessSilent(), 2);
+  RawSearcher& other =
+      AddSearcher([](RawSearcher::Session& session, const RawRequest& request) {
+        session.Write(GoodReply(request));
+      });
   ASSERT_EQ(NameOf(Exchange(Request(searcher)).outcome), "ok");
   silent = {searcher.requests[0].session};
   transport->Send(Request(searcher));
-  Advance(milliseconds(90));
-  EXPECT_EQ(replies.size(), 1U);
+  Advance(milliseconds(40));
+  ASSERT_EQ(NameOf(Exchange(Request(other)).outcome), "ok");
+  Advance(milliseconds(50));
+  EXPECT_EQ(replies.size(), 2U);
   EXPECT_EQ(searcher.requests.back().start_line, "GET /v1/ping HTTP/1.1");
   searcher.sessions[searcher.requests[1].session]->Write(
       GoodReply(searcher.requests[1]));
   Settle();
-  ASSERT_EQ(replies.size(), 2U);
-  EXPECT_EQ(NameOf(replies[1].outcome), "ok");
+  ASSERT_EQ(replies.size(), 3U);
+  EXPECT_EQ(replies[2].attempt, AttemptId(2));
+  EXPECT_EQ(NameOf(replies[2].outcome), "ok");
 }
 
 // Guards against a reply that trickles in being taken for silence, and against
