--- a/tests/fuzz/caller_request_fuzz.cc
+++ b/tests/fuzz/caller_request_fuzz.cc
@@ -64,18 +64,23 @@
 }
 
 std::vector<std::string> FuzzSeeds() {
-  return {
-      "POST /v1/query/payout-search HTTP/1.1\r\nHost: x\r\n"
-      "Jujubecove-Deadline-Ms: 80\r\nJujubecove-Caller: a\r\nJujubecove-Key: "
-      "k\r\n"
-      "Idempotency-Key: t\r\ntraceparent: 00-4bf92f3577b34da6a3ce929d0e0e4736-"
-      "00f067aa0ba902b7-01\r\nContent-Length: 5\r\n\r\n[1,2]",
-      "POST /v1/query/k HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
-      "\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: v\r\n\r\n",
-      "POST /v1/tickets?count=3 HTTP/1.1\r\nHost: x\r\nContent-Length: "
-      "0\r\n\r\n",
-      "GET /readyz HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
-      "POST /v1/query/k HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
-      "Content-Length: 2\r\n\r\n{}",
-  };
+  const std::string query =
+      "POST /v1/query/payout-search HTTP/1.1\r\nHost: x\r\n";
+  const std::string trace_id = "4bf92f3577b34da6a3ce929d0e0e4736";
+  std::vector<std::string> seeds;
+  seeds.push_back(
+      query +
+      "Jujubecove-Deadline-Ms: 80\r\nJujubecove-Caller: a\r\n"
+      "Jujubecove-Key: k\r\nIdempotency-Key: t\r\ntraceparent: 00-" +
+      trace_id + "-00f067aa0ba902b7-01\r\nContent-Length: 5\r\n\r\n[1,2]");
+  seeds.push_back(query +
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: v\r\n\r\n");
+  seeds.push_back(query +
+                  "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n{}");
+  seeds.emplace_back(
+      "POST /v1/tickets?count=3 HTTP/1.1\r\nHost: x\r\n"
+      "Content-Length: 0\r\n\r\n");
+  seeds.emplace_back("GET /readyz HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  return seeds;
 }
