--- a/tests/unit/frontend/frontend_fixture.h
+++ b/tests/unit/frontend/frontend_fixture.h
@@ -23,6 +23,17 @@
 
 namespace jujubecove {
 
+inline std::string Post(const std::string& target,
+                        const std::string& fields,
+                        const std::string& body) {
+  return "POST " + target + " HTTP/1.1\r\n" + "Host: x\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string Get(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\n" + "Host: x\r\n" + "\r\n";
+}
+
 // Answers when the test says so, or at once with the request's body.
 class FakeQueryService : public QueryService {
  public:
