--- a/src/kernel/service_registry.h
+++ b/src/kernel/service_registry.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <typeindex>
 #include <utility>
+#include <vector>
 
 namespace jujubecove {
 
@@ -14,6 +15,16 @@
 // threads start and only read afterwards, so it needs no lock.
 class ServiceRegistry {
  public:
+  ServiceRegistry() = default;
+  ServiceRegistry(const ServiceRegistry&) = delete;
+  ServiceRegistry& operator=(const ServiceRegistry&) = delete;
+  // Destroys the services in the reverse order of their publication, since a
+  // service uses those that were published before it.
+  ~ServiceRegistry() {
+    for (; !names_.empty(); names_.pop_back())
+      services_.erase(names_.back());
+  }
+
   // Publishes `service` as an implementation of `Interface`. A name can be
   // taken only once.
   template <typename Interface>
@@ -22,7 +33,8 @@
     bool inserted =
         services_.emplace(name, Entry{type, std::move(service)}).second;
     assert(inserted);
-    (void)inserted;
+    if (inserted)
+      names_.push_back(name);
   }
 
   // The service of that name. It must have been published as the same
@@ -44,6 +56,8 @@
   };
 
   std::map<std::string, Entry> services_;
+  // In the order of publication.
+  std::vector<std::string> names_;
 };
 
 }  // namespace jujubecove
