Wait for the whole last chunk of an empty body

Cause: Beast 1.81 asserts n >= 5 when it sees a last chunk a second time, so a caller that sent the "0\r\n\r\n" of an empty chunked body in pieces ended the process. Change: RequestReader waits until 5 bytes are there; no message ends earlier. The fuzz target reads in pieces of 1 byte too and has such a seed input.

--- a/src/frontend/request_reader.cc
+++ b/src/frontend/request_reader.cc
@@ -29,6 +29,15 @@
   buf.consume(skipped);
 }
 
+// Beast 1.81 asserts that at least 5 bytes are there when it looks at a last
+// chunk for the second time, and so ends the process when the "0\r\n\r\n" of an
+// empty body arrives in pieces. No message ends within fewer bytes.
+bool IsShortLastChunk(const boost::beast::flat_buffer& buf) {
+  constexpr std::size_t kLastChunkBytes = 5;
+  return buf.size() > 0 && buf.size() < kLastChunkBytes &&
+         *static_cast<const char*>(buf.data().data()) == '0';
+}
+
 }  // namespace
 
 RequestReader::RequestReader(const FrontendLimits& limits) : limits_(limits) {
@@ -58,6 +67,8 @@
     state_ = State::kHeader;
   }
   while (state_ == State::kHeader || state_ == State::kBody) {
+    if (header_done_ && parser_->chunked() && IsShortLastChunk(buf))
+      return state_;
     boost::system::error_code ec;
     std::size_t consumed = parser_->put(buf.data(), ec);
     buf.consume(consumed);
--- a/tests/fuzz/caller_request_fuzz.cc
+++ b/tests/fuzz/caller_request_fuzz.cc
@@ -53,12 +53,14 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   std::string whole = jujubecove::ReadInput(data, size, size + 1);
-  std::string pieces = jujubecove::ReadInput(data, size, 3);
-  if (whole != pieces) {
-    std::cerr << "read differently in pieces:\n"
-              << whole << "\n---\n"
-              << pieces << "\n";
-    std::abort();
+  for (std::size_t piece : {1, 3}) {
+    std::string pieces = jujubecove::ReadInput(data, size, piece);
+    if (whole != pieces) {
+      std::cerr << "read differently in pieces of " << piece << ":\n"
+                << whole << "\n---\n"
+                << pieces << "\n";
+      std::abort();
+    }
   }
   return 0;
 }
@@ -76,6 +78,7 @@
   seeds.push_back(query +
                   "Transfer-Encoding: chunked\r\n\r\n"
                   "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: v\r\n\r\n");
+  seeds.push_back(query + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
   seeds.push_back(query +
                   "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n{}");
   seeds.emplace_back(
--- a/tests/unit/frontend/request_reader_test.cc
+++ b/tests/unit/frontend/request_reader_test.cc
@@ -57,6 +57,23 @@
   return text + "0\r\n\r\n";
 }
 
+// Guards against Beast's assertion on a last chunk that arrives in pieces, by
+// which a caller could end the process.
+TEST(RequestReaderTest, ReadsEmptyChunkedBodyByteByByte) {
+  for (const char* last : {"0\r\n\r\n", "000\r\n\r\n", "0;x=y\r\n\r\n",
+                           "0\r\nTrailer: v\r\n\r\n"}) {
+    std::string text =
+        "POST /v1/query/k HTTP/1.1\r\nHost: x\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        std::string(last);
+    std::vector<std::size_t> cuts;
+    for (std::size_t n = 1; n < text.size(); ++n)
+      cuts.push_back(n);
+    EXPECT_EQ(ReadAll(text, cuts).bodies, std::vector<std::string>{"k:"})
+        << last;
+  }
+}
+
 // Guards against a reading that depends on how the bytes arrive, and against
 // bytes of one request that count for the next.
 RC_GTEST_PROP(RequestReaderPropertyTest, ReadsTheSameHoweverItIsCut, ()) {
