--- a/src/routing/searcher_directory.cc
+++ b/src/routing/searcher_directory.cc
@@ -12,7 +12,9 @@
 // Reports that follow a drain sign may be older than it; a searcher that really
 // returned says so for longer than this.
 constexpr Duration kDrainHold{10'000'000};
-constexpr Duration kCorrectionHold{2'000'000};
+// A report may be older than the refusal that contradicts it. Holding on for
+// longer leaves out searchers that have loaded the version meanwhile.
+constexpr Duration kCorrectionHold{500'000};
 // After this long without a sign of life the address may serve another VM.
 constexpr Duration kForgetAfter{600'000'000};
 // Bounds on what one searcher can make a daemon remember.
--- a/tests/standin/snapshot_simulation.cc
+++ b/tests/standin/snapshot_simulation.cc
@@ -28,8 +28,6 @@
 // One step in this many drops the previous version at once instead.
 constexpr int kHastyEvery = 5;
 constexpr int kRepartitionEvery = 4;
-// The router disbelieves a searcher for this long after it was found wrong.
-constexpr Duration kDisbelief{2'000'000};
 
 using Pin = std::pair<ShardMapVersion, IndexVersion>;
 using PinSet = std::set<Pin>;
@@ -92,8 +90,6 @@
   Pin previous_ = current_;
   int steps_ = 0;
   SearcherId misleading_;
-  // When searchers last misled about versions.
-  std::map<SearcherId, TimePoint> misled_at_;
   SnapshotSimulationResult result_;
 };
 
@@ -112,8 +108,6 @@
   searchers_ = fleet_.SearchersOf(service_);
   FakeDaemonOptions daemon;
   daemon.seed = random_();
-  // What admission sheds while a straggler holds queries up is not the subject.
-  daemon.admits_all = true;
   daemon.after_feed = [this](Router& router) { Mislead(router); };
   daemon_ = std::make_unique<FakeDaemon>(fleet_, network_, MakeDocument(),
                                          std::move(daemon));
@@ -159,11 +153,8 @@
 }
 
 void Simulation::ChangeFaults() {
-  for (const SearcherId& id : searchers_) {
-    if (id == misleading_ || fleet_.searcher(id).faults().ignores_pin)
-      misled_at_[id] = timers_.Now();
+  for (const SearcherId& id : searchers_)
     fleet_.searcher(id).SetFaults(SearcherFaults());
-  }
   SearcherFaults fault;
   fault.slow_factor = 20.0;
   fleet_.searcher(Any()).SetFaults(fault);
@@ -197,9 +188,6 @@
 
 bool Simulation::CanServe(const SearcherModel& searcher, const Pin& pin) const {
   const SearcherFaults& faults = searcher.faults();
-  auto misled = misled_at_.find(searcher.shape().id);
-  if (misled != misled_at_.end() && timers_.Now() < misled->second + kDisbelief)
-    return false;
   return !faults.down && !faults.ignores_pin && faults.slow_factor <= 1.0 &&
          searcher.Holds(pin.first, pin.second);
 }
