Acknowledge the connection share of a joining daemon

Cause: nothing carried the acknowledgements that ConnectionShares waits for, so a replaced daemon had one connection to each searcher for 5 s. Change: exchanges of a joining daemon ask for acknowledgements; a peer gives one when it has counted the daemon for as long as the longest deadline, by when connections above its smaller share are closed. Conclusion: a joining daemon no longer waits for the hold when a settled peer lives.

--- a/bench/cluster.cc
+++ b/bench/cluster.cc
@@ -22,6 +22,9 @@
 
 constexpr std::uint16_t kPortsPerDaemon = 10;
 constexpr milliseconds kReadyTimeout{20'000};
+// When all daemons start at once, none can vouch for another, and each has one
+// connection to a searcher until the hold of ConnectionShares has passed.
+constexpr milliseconds kSettleTime{6'000};
 
 // The folder that the programs were built to: this one is in its bench/.
 std::string BuildDirectory() {
@@ -77,6 +80,7 @@
   }
   for (std::size_t n = 0; n < options_.daemons; ++n)
     WaitUntilReady(n);
+  std::this_thread::sleep_for(kSettleTime);
 }
 
 Cluster::~Cluster() {
--- a/src/daemon/control_side.cc
+++ b/src/daemon/control_side.cc
@@ -23,6 +23,13 @@
   return tcp::endpoint(boost::asio::ip::make_address(address.ip), address.port);
 }
 
+Duration LongestDeadline(const Document& document) {
+  Duration longest{0};
+  for (const auto& [name, kind] : document.kinds)
+    longest = std::max(longest, kind.deadline);
+  return longest;
+}
+
 wire::Member SelfOf(const DaemonConfig& config, IncarnationId incarnation) {
   wire::Member self;
   self.incarnation = static_cast<std::int64_t>(incarnation.value());
@@ -59,6 +66,7 @@
           PeerServerOptions{.endpoint = EndpointOf(config.listen_peers)},
           *this),
       shares_(thread.timers(), config.vm),
+      share_exchange_(thread.timers(), membership_, shares_),
       to_query_(MakeTaskRing(query_thread.context(), kRingTasks)),
       from_query_(MakeTaskRing(thread.context(), kRingTasks)),
       list_failures_(metrics.AddCounter("jujubecove_vm_list_failures_total",
@@ -71,6 +79,7 @@
                            "1 when the last fetch of the VM list worked.")) {
   forwarder_.SetTransport(peers_);
   membership_.SetChangeHandler([this] { OnMembers(); });
+  membership_.SetExtension(&share_exchange_);
 }
 
 ControlSide::~ControlSide() = default;
@@ -97,7 +106,7 @@
         document_due_ = true;
         PushToQuery();
       });
-  membership_.SetExtension(config_agent_.get());
+  share_exchange_.SetNext(config_agent_.get());
   config_agent_->Start();
 }
 
@@ -152,6 +161,8 @@
   if (!has_self)
     daemons.push_back(EntryDaemon{config_.vm, zones_});
   shares_.SetDaemons(daemons);
+  share_exchange_.SetZones(zones_);
+  share_exchange_.OnDaemons(daemons);
   forwarder_.SetKnownAddresses(std::move(addresses));
   live_daemons_.Set(static_cast<double>(daemons.size()));
   if (config_agent_)
@@ -189,8 +200,10 @@
 // A searcher that leaves gets no share: its connections close once the
 // requests on them have ended.
 void ControlSide::ApplyShares() {
+  share_exchange_.Step();
   std::map<SearcherId, std::size_t> shares;
   if (document_) {
+    share_exchange_.SetLongestRequest(LongestDeadline(*document_));
     for (const SearcherVm& vm : searchers_) {
       auto service = document_->services.find(vm.service);
       if (service == document_->services.end() || vm.leaving)
@@ -216,7 +229,9 @@
 
 wire::ExchangeMessage ControlSide::OnExchange(
     const wire::ExchangeMessage& message) {
-  return membership_.OnExchange(message);
+  wire::ExchangeMessage reply = membership_.OnExchange(message);
+  share_exchange_.Answer(message, reply);
+  return reply;
 }
 
 wire::DocumentReply ControlSide::OnFetchDelta(ConfigVersion from,
--- a/src/daemon/control_side.h
+++ b/src/daemon/control_side.h
@@ -11,6 +11,7 @@
 #include "daemon/duty_thread.h"
 #include "daemon/peer_forwarder.h"
 #include "daemon/query_side.h"
+#include "daemon/share_exchange.h"
 #include "document/document.h"
 #include "membership/membership.h"
 #include "peer/peer_client.h"
@@ -71,6 +72,7 @@
   Membership membership_;
   PeerServer peer_server_;
   ConnectionShares shares_;
+  ShareExchange share_exchange_;
   std::unique_ptr<TaskRing> to_query_;
   // From the query thread: answers to forwarded requests.
   std::unique_ptr<TaskRing> from_query_;
--- a/src/peer/gen-cpp/jujubecove_types.cpp
+++ b/src/peer/gen-cpp/jujubecove_types.cpp
@@ -473,6 +473,336 @@
 }
 
 
+GoneDaemon::~GoneDaemon() noexcept {
+}
+
+
+void GoneDaemon::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void GoneDaemon::__set_live_count(const int32_t val) {
+  this->live_count = val;
+}
+std::ostream& operator<<(std::ostream& out, const GoneDaemon& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GoneDaemon::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->live_count);
+          this->__isset.live_count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GoneDaemon::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GoneDaemon");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("live_count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->live_count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GoneDaemon &a, GoneDaemon &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.live_count, b.live_count);
+  swap(a.__isset, b.__isset);
+}
+
+GoneDaemon::GoneDaemon(const GoneDaemon& other9) {
+  id = other9.id;
+  live_count = other9.live_count;
+  __isset = other9.__isset;
+}
+GoneDaemon::GoneDaemon(GoneDaemon&& other10) noexcept {
+  id = std::move(other10.id);
+  live_count = other10.live_count;
+  __isset = other10.__isset;
+}
+GoneDaemon& GoneDaemon::operator=(const GoneDaemon& other11) {
+  id = other11.id;
+  live_count = other11.live_count;
+  __isset = other11.__isset;
+  return *this;
+}
+GoneDaemon& GoneDaemon::operator=(GoneDaemon&& other12) noexcept {
+  id = std::move(other12.id);
+  live_count = other12.live_count;
+  __isset = other12.__isset;
+  return *this;
+}
+void GoneDaemon::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GoneDaemon(";
+  out << "id=" << to_string(id);
+  out << ", " << "live_count=" << to_string(live_count);
+  out << ")";
+}
+
+
+ZoneShare::~ZoneShare() noexcept {
+}
+
+
+void ZoneShare::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneShare::__set_settled(const bool val) {
+  this->settled = val;
+}
+
+void ZoneShare::__set_live(const std::vector<std::string> & val) {
+  this->live = val;
+}
+
+void ZoneShare::__set_gone(const std::vector<GoneDaemon> & val) {
+  this->gone = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneShare& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneShare::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->live.clear();
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->live.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
+            {
+              xfer += iprot->readString(this->live[_i17]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.live = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gone.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->gone.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += this->gone[_i22].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneShare");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->settled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("live", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->live.size()));
+    std::vector<std::string> ::const_iterator _iter23;
+    for (_iter23 = this->live.begin(); _iter23 != this->live.end(); ++_iter23)
+    {
+      xfer += oprot->writeString((*_iter23));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gone.size()));
+    std::vector<GoneDaemon> ::const_iterator _iter24;
+    for (_iter24 = this->gone.begin(); _iter24 != this->gone.end(); ++_iter24)
+    {
+      xfer += (*_iter24).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneShare &a, ZoneShare &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.settled, b.settled);
+  swap(a.live, b.live);
+  swap(a.gone, b.gone);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneShare::ZoneShare(const ZoneShare& other25) {
+  zone = other25.zone;
+  settled = other25.settled;
+  live = other25.live;
+  gone = other25.gone;
+  __isset = other25.__isset;
+}
+ZoneShare::ZoneShare(ZoneShare&& other26) noexcept {
+  zone = std::move(other26.zone);
+  settled = other26.settled;
+  live = std::move(other26.live);
+  gone = std::move(other26.gone);
+  __isset = other26.__isset;
+}
+ZoneShare& ZoneShare::operator=(const ZoneShare& other27) {
+  zone = other27.zone;
+  settled = other27.settled;
+  live = other27.live;
+  gone = other27.gone;
+  __isset = other27.__isset;
+  return *this;
+}
+ZoneShare& ZoneShare::operator=(ZoneShare&& other28) noexcept {
+  zone = std::move(other28.zone);
+  settled = other28.settled;
+  live = std::move(other28.live);
+  gone = std::move(other28.gone);
+  __isset = other28.__isset;
+  return *this;
+}
+void ZoneShare::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneShare(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "settled=" << to_string(settled);
+  out << ", " << "live=" << to_string(live);
+  out << ", " << "gone=" << to_string(gone);
+  out << ")";
+}
+
+
 ExchangeMessage::~ExchangeMessage() noexcept {
 }
 
@@ -507,6 +837,16 @@
 void ExchangeMessage::__set_config(const ConfigState& val) {
   this->config = val;
 }
+
+void ExchangeMessage::__set_joining(const bool val) {
+  this->joining = val;
+__isset.joining = true;
+}
+
+void ExchangeMessage::__set_shares(const std::vector<ZoneShare> & val) {
+  this->shares = val;
+__isset.shares = true;
+}
 std::ostream& operator<<(std::ostream& out, const ExchangeMessage& obj)
 {
   obj.printTo(out);
@@ -547,14 +887,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->changes.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->changes.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->changes[_i13].read(iprot);
+              xfer += this->changes[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -603,6 +943,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->joining);
+          this->__isset.joining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->shares.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += this->shares[_i38].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -627,10 +995,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Member> ::const_iterator _iter14;
-    for (_iter14 = this->changes.begin(); _iter14 != this->changes.end(); ++_iter14)
+    std::vector<Member> ::const_iterator _iter39;
+    for (_iter39 = this->changes.begin(); _iter39 != this->changes.end(); ++_iter39)
     {
-      xfer += (*_iter14).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -659,6 +1027,24 @@
   xfer += this->config.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.joining) {
+    xfer += oprot->writeFieldBegin("joining", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->joining);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.shares) {
+    xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+      std::vector<ZoneShare> ::const_iterator _iter40;
+      for (_iter40 = this->shares.begin(); _iter40 != this->shares.end(); ++_iter40)
+      {
+        xfer += (*_iter40).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -673,49 +1059,59 @@
   swap(a.sync_after, b.sync_after);
   swap(a.sync_more, b.sync_more);
   swap(a.config, b.config);
+  swap(a.joining, b.joining);
+  swap(a.shares, b.shares);
   swap(a.__isset, b.__isset);
 }
 
-ExchangeMessage::ExchangeMessage(const ExchangeMessage& other15) {
-  sender = other15.sender;
-  changes = other15.changes;
-  digest = other15.digest;
-  sync = other15.sync;
-  sync_after = other15.sync_after;
-  sync_more = other15.sync_more;
-  config = other15.config;
-  __isset = other15.__isset;
-}
-ExchangeMessage::ExchangeMessage(ExchangeMessage&& other16) noexcept {
-  sender = std::move(other16.sender);
-  changes = std::move(other16.changes);
-  digest = other16.digest;
-  sync = other16.sync;
-  sync_after = other16.sync_after;
-  sync_more = other16.sync_more;
-  config = std::move(other16.config);
-  __isset = other16.__isset;
-}
-ExchangeMessage& ExchangeMessage::operator=(const ExchangeMessage& other17) {
-  sender = other17.sender;
-  changes = other17.changes;
-  digest = other17.digest;
-  sync = other17.sync;
-  sync_after = other17.sync_after;
-  sync_more = other17.sync_more;
-  config = other17.config;
-  __isset = other17.__isset;
+ExchangeMessage::ExchangeMessage(const ExchangeMessage& other41) {
+  sender = other41.sender;
+  changes = other41.changes;
+  digest = other41.digest;
+  sync = other41.sync;
+  sync_after = other41.sync_after;
+  sync_more = other41.sync_more;
+  config = other41.config;
+  joining = other41.joining;
+  shares = other41.shares;
+  __isset = other41.__isset;
+}
+ExchangeMessage::ExchangeMessage(ExchangeMessage&& other42) noexcept {
+  sender = std::move(other42.sender);
+  changes = std::move(other42.changes);
+  digest = other42.digest;
+  sync = other42.sync;
+  sync_after = other42.sync_after;
+  sync_more = other42.sync_more;
+  config = std::move(other42.config);
+  joining = other42.joining;
+  shares = std::move(other42.shares);
+  __isset = other42.__isset;
+}
+ExchangeMessage& ExchangeMessage::operator=(const ExchangeMessage& other43) {
+  sender = other43.sender;
+  changes = other43.changes;
+  digest = other43.digest;
+  sync = other43.sync;
+  sync_after = other43.sync_after;
+  sync_more = other43.sync_more;
+  config = other43.config;
+  joining = other43.joining;
+  shares = other43.shares;
+  __isset = other43.__isset;
   return *this;
 }
-ExchangeMessage& ExchangeMessage::operator=(ExchangeMessage&& other18) noexcept {
-  sender = std::move(other18.sender);
-  changes = std::move(other18.changes);
-  digest = other18.digest;
-  sync = other18.sync;
-  sync_after = other18.sync_after;
-  sync_more = other18.sync_more;
-  config = std::move(other18.config);
-  __isset = other18.__isset;
+ExchangeMessage& ExchangeMessage::operator=(ExchangeMessage&& other44) noexcept {
+  sender = std::move(other44.sender);
+  changes = std::move(other44.changes);
+  digest = other44.digest;
+  sync = other44.sync;
+  sync_after = other44.sync_after;
+  sync_more = other44.sync_more;
+  config = std::move(other44.config);
+  joining = other44.joining;
+  shares = std::move(other44.shares);
+  __isset = other44.__isset;
   return *this;
 }
 void ExchangeMessage::printTo(std::ostream& out) const {
@@ -728,6 +1124,8 @@
   out << ", " << "sync_after="; (__isset.sync_after ? (out << to_string(sync_after)) : (out << "<null>"));
   out << ", " << "sync_more="; (__isset.sync_more ? (out << to_string(sync_more)) : (out << "<null>"));
   out << ", " << "config=" << to_string(config);
+  out << ", " << "joining="; (__isset.joining ? (out << to_string(joining)) : (out << "<null>"));
+  out << ", " << "shares="; (__isset.shares ? (out << to_string(shares)) : (out << "<null>"));
   out << ")";
 }
 
@@ -858,34 +1256,34 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentReply::DocumentReply(const DocumentReply& other19) {
-  found = other19.found;
-  version = other19.version;
-  sha256 = other19.sha256;
-  content = other19.content;
-  __isset = other19.__isset;
-}
-DocumentReply::DocumentReply(DocumentReply&& other20) noexcept {
-  found = other20.found;
-  version = other20.version;
-  sha256 = std::move(other20.sha256);
-  content = std::move(other20.content);
-  __isset = other20.__isset;
-}
-DocumentReply& DocumentReply::operator=(const DocumentReply& other21) {
-  found = other21.found;
-  version = other21.version;
-  sha256 = other21.sha256;
-  content = other21.content;
-  __isset = other21.__isset;
+DocumentReply::DocumentReply(const DocumentReply& other45) {
+  found = other45.found;
+  version = other45.version;
+  sha256 = other45.sha256;
+  content = other45.content;
+  __isset = other45.__isset;
+}
+DocumentReply::DocumentReply(DocumentReply&& other46) noexcept {
+  found = other46.found;
+  version = other46.version;
+  sha256 = std::move(other46.sha256);
+  content = std::move(other46.content);
+  __isset = other46.__isset;
+}
+DocumentReply& DocumentReply::operator=(const DocumentReply& other47) {
+  found = other47.found;
+  version = other47.version;
+  sha256 = other47.sha256;
+  content = other47.content;
+  __isset = other47.__isset;
   return *this;
 }
-DocumentReply& DocumentReply::operator=(DocumentReply&& other22) noexcept {
-  found = other22.found;
-  version = other22.version;
-  sha256 = std::move(other22.sha256);
-  content = std::move(other22.content);
-  __isset = other22.__isset;
+DocumentReply& DocumentReply::operator=(DocumentReply&& other48) noexcept {
+  found = other48.found;
+  version = other48.version;
+  sha256 = std::move(other48.sha256);
+  content = std::move(other48.content);
+  __isset = other48.__isset;
   return *this;
 }
 void DocumentReply::printTo(std::ostream& out) const {
@@ -958,17 +1356,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _ktype24;
-            ::apache::thrift::protocol::TType _vtype25;
-            xfer += iprot->readMapBegin(_ktype24, _vtype25, _size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _ktype50;
+            ::apache::thrift::protocol::TType _vtype51;
+            xfer += iprot->readMapBegin(_ktype50, _vtype51, _size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              std::string _key28;
-              xfer += iprot->readString(_key28);
-              std::string& _val29 = this->headers[_key28];
-              xfer += iprot->readString(_val29);
+              std::string _key54;
+              xfer += iprot->readString(_key54);
+              std::string& _val55 = this->headers[_key54];
+              xfer += iprot->readString(_val55);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1017,11 +1415,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter30;
-    for (_iter30 = this->headers.begin(); _iter30 != this->headers.end(); ++_iter30)
+    std::map<std::string, std::string> ::const_iterator _iter56;
+    for (_iter56 = this->headers.begin(); _iter56 != this->headers.end(); ++_iter56)
     {
-      xfer += oprot->writeString(_iter30->first);
-      xfer += oprot->writeString(_iter30->second);
+      xfer += oprot->writeString(_iter56->first);
+      xfer += oprot->writeString(_iter56->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1049,34 +1447,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other31) {
-  kind = other31.kind;
-  headers = other31.headers;
-  body = other31.body;
-  deadline_ms = other31.deadline_ms;
-  __isset = other31.__isset;
-}
-ForwardRequest::ForwardRequest(ForwardRequest&& other32) noexcept {
-  kind = std::move(other32.kind);
-  headers = std::move(other32.headers);
-  body = std::move(other32.body);
-  deadline_ms = other32.deadline_ms;
-  __isset = other32.__isset;
-}
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other33) {
-  kind = other33.kind;
-  headers = other33.headers;
-  body = other33.body;
-  deadline_ms = other33.deadline_ms;
-  __isset = other33.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other57) {
+  kind = other57.kind;
+  headers = other57.headers;
+  body = other57.body;
+  deadline_ms = other57.deadline_ms;
+  __isset = other57.__isset;
+}
+ForwardRequest::ForwardRequest(ForwardRequest&& other58) noexcept {
+  kind = std::move(other58.kind);
+  headers = std::move(other58.headers);
+  body = std::move(other58.body);
+  deadline_ms = other58.deadline_ms;
+  __isset = other58.__isset;
+}
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other59) {
+  kind = other59.kind;
+  headers = other59.headers;
+  body = other59.body;
+  deadline_ms = other59.deadline_ms;
+  __isset = other59.__isset;
   return *this;
 }
-ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other34) noexcept {
-  kind = std::move(other34.kind);
-  headers = std::move(other34.headers);
-  body = std::move(other34.body);
-  deadline_ms = other34.deadline_ms;
-  __isset = other34.__isset;
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other60) noexcept {
+  kind = std::move(other60.kind);
+  headers = std::move(other60.headers);
+  body = std::move(other60.body);
+  deadline_ms = other60.deadline_ms;
+  __isset = other60.__isset;
   return *this;
 }
 void ForwardRequest::printTo(std::ostream& out) const {
@@ -1145,17 +1543,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->headers.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _ktype36;
-            ::apache::thrift::protocol::TType _vtype37;
-            xfer += iprot->readMapBegin(_ktype36, _vtype37, _size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _ktype62;
+            ::apache::thrift::protocol::TType _vtype63;
+            xfer += iprot->readMapBegin(_ktype62, _vtype63, _size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              std::string _key40;
-              xfer += iprot->readString(_key40);
-              std::string& _val41 = this->headers[_key40];
-              xfer += iprot->readString(_val41);
+              std::string _key66;
+              xfer += iprot->readString(_key66);
+              std::string& _val67 = this->headers[_key66];
+              xfer += iprot->readString(_val67);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1196,11 +1594,11 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter42;
-    for (_iter42 = this->headers.begin(); _iter42 != this->headers.end(); ++_iter42)
+    std::map<std::string, std::string> ::const_iterator _iter68;
+    for (_iter68 = this->headers.begin(); _iter68 != this->headers.end(); ++_iter68)
     {
-      xfer += oprot->writeString(_iter42->first);
-      xfer += oprot->writeString(_iter42->second);
+      xfer += oprot->writeString(_iter68->first);
+      xfer += oprot->writeString(_iter68->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1223,30 +1621,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardReply::ForwardReply(const ForwardReply& other43) {
-  status = other43.status;
-  headers = other43.headers;
-  body = other43.body;
-  __isset = other43.__isset;
+ForwardReply::ForwardReply(const ForwardReply& other69) {
+  status = other69.status;
+  headers = other69.headers;
+  body = other69.body;
+  __isset = other69.__isset;
 }
-ForwardReply::ForwardReply(ForwardReply&& other44) noexcept {
-  status = other44.status;
-  headers = std::move(other44.headers);
-  body = std::move(other44.body);
-  __isset = other44.__isset;
+ForwardReply::ForwardReply(ForwardReply&& other70) noexcept {
+  status = other70.status;
+  headers = std::move(other70.headers);
+  body = std::move(other70.body);
+  __isset = other70.__isset;
 }
-ForwardReply& ForwardReply::operator=(const ForwardReply& other45) {
-  status = other45.status;
-  headers = other45.headers;
-  body = other45.body;
-  __isset = other45.__isset;
+ForwardReply& ForwardReply::operator=(const ForwardReply& other71) {
+  status = other71.status;
+  headers = other71.headers;
+  body = other71.body;
+  __isset = other71.__isset;
   return *this;
 }
-ForwardReply& ForwardReply::operator=(ForwardReply&& other46) noexcept {
-  status = other46.status;
-  headers = std::move(other46.headers);
-  body = std::move(other46.body);
-  __isset = other46.__isset;
+ForwardReply& ForwardReply::operator=(ForwardReply&& other72) noexcept {
+  status = other72.status;
+  headers = std::move(other72.headers);
+  body = std::move(other72.body);
+  __isset = other72.__isset;
   return *this;
 }
 void ForwardReply::printTo(std::ostream& out) const {
--- a/src/peer/gen-cpp/jujubecove_types.h
+++ b/src/peer/gen-cpp/jujubecove_types.h
@@ -40,6 +40,10 @@
 
 class ConfigState;
 
+class GoneDaemon;
+
+class ZoneShare;
+
 class ExchangeMessage;
 
 class DocumentReply;
@@ -214,8 +218,124 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigState& obj);
 
+typedef struct _GoneDaemon__isset {
+  _GoneDaemon__isset() : id(false), live_count(false) {}
+  bool id :1;
+  bool live_count :1;
+} _GoneDaemon__isset;
+
+class GoneDaemon : public virtual ::apache::thrift::TBase {
+ public:
+
+  GoneDaemon(const GoneDaemon&);
+  GoneDaemon(GoneDaemon&&) noexcept;
+  GoneDaemon& operator=(const GoneDaemon&);
+  GoneDaemon& operator=(GoneDaemon&&) noexcept;
+  GoneDaemon() noexcept
+             : id(),
+               live_count(0) {
+  }
+
+  virtual ~GoneDaemon() noexcept;
+  std::string id;
+  int32_t live_count;
+
+  _GoneDaemon__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_live_count(const int32_t val);
+
+  bool operator == (const GoneDaemon & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(live_count == rhs.live_count))
+      return false;
+    return true;
+  }
+  bool operator != (const GoneDaemon &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GoneDaemon & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GoneDaemon &a, GoneDaemon &b);
+
+std::ostream& operator<<(std::ostream& out, const GoneDaemon& obj);
+
+typedef struct _ZoneShare__isset {
+  _ZoneShare__isset() : zone(false), settled(false), live(false), gone(false) {}
+  bool zone :1;
+  bool settled :1;
+  bool live :1;
+  bool gone :1;
+} _ZoneShare__isset;
+
+class ZoneShare : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneShare(const ZoneShare&);
+  ZoneShare(ZoneShare&&) noexcept;
+  ZoneShare& operator=(const ZoneShare&);
+  ZoneShare& operator=(ZoneShare&&) noexcept;
+  ZoneShare() noexcept
+            : zone(),
+              settled(0) {
+  }
+
+  virtual ~ZoneShare() noexcept;
+  std::string zone;
+  bool settled;
+  std::vector<std::string>  live;
+  std::vector<GoneDaemon>  gone;
+
+  _ZoneShare__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_settled(const bool val);
+
+  void __set_live(const std::vector<std::string> & val);
+
+  void __set_gone(const std::vector<GoneDaemon> & val);
+
+  bool operator == (const ZoneShare & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(settled == rhs.settled))
+      return false;
+    if (!(live == rhs.live))
+      return false;
+    if (!(gone == rhs.gone))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneShare &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneShare & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneShare &a, ZoneShare &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneShare& obj);
+
 typedef struct _ExchangeMessage__isset {
-  _ExchangeMessage__isset() : sender(false), changes(false), digest(false), sync(false), sync_after(false), sync_more(false), config(false) {}
+  _ExchangeMessage__isset() : sender(false), changes(false), digest(false), sync(false), sync_after(false), sync_more(false), config(false), joining(false), shares(false) {}
   bool sender :1;
   bool changes :1;
   bool digest :1;
@@ -223,6 +343,8 @@
   bool sync_after :1;
   bool sync_more :1;
   bool config :1;
+  bool joining :1;
+  bool shares :1;
 } _ExchangeMessage__isset;
 
 class ExchangeMessage : public virtual ::apache::thrift::TBase {
@@ -236,7 +358,8 @@
                   : digest(0),
                     sync(0),
                     sync_after(0),
-                    sync_more(0) {
+                    sync_more(0),
+                    joining(0) {
   }
 
   virtual ~ExchangeMessage() noexcept;
@@ -247,6 +370,8 @@
   int64_t sync_after;
   bool sync_more;
   ConfigState config;
+  bool joining;
+  std::vector<ZoneShare>  shares;
 
   _ExchangeMessage__isset __isset;
 
@@ -264,6 +389,10 @@
 
   void __set_config(const ConfigState& val);
 
+  void __set_joining(const bool val);
+
+  void __set_shares(const std::vector<ZoneShare> & val);
+
   bool operator == (const ExchangeMessage & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -286,6 +415,14 @@
       return false;
     if (!(config == rhs.config))
       return false;
+    if (__isset.joining != rhs.__isset.joining)
+      return false;
+    else if (__isset.joining && !(joining == rhs.joining))
+      return false;
+    if (__isset.shares != rhs.__isset.shares)
+      return false;
+    else if (__isset.shares && !(shares == rhs.shares))
+      return false;
     return true;
   }
   bool operator != (const ExchangeMessage &rhs) const {
--- a/src/peer/jujubecove.thrift
+++ b/src/peer/jujubecove.thrift
@@ -38,6 +38,22 @@
   6: optional string rejection
 }
 
+// A daemon that no longer lives and may still have connections to searchers.
+struct GoneDaemon {
+  1: string id
+  // Least number of live daemons by which its share can have been computed.
+  2: i32 live_count
+}
+
+// Says to a joining daemon that the sender counts it and has closed its
+// connections to searchers of the zone above its smaller share.
+struct ZoneShare {
+  1: string zone
+  2: bool settled
+  3: list<string> live
+  4: list<GoneDaemon> gone
+}
+
 struct ExchangeMessage {
   1: Member sender
   // Changes that the sender still spreads.
@@ -50,6 +66,9 @@
   // In a reply to `sync`: whether the list goes on after the last change.
   6: optional bool sync_more
   7: ConfigState config
+  // Asks for acknowledgements of the sender's share.
+  8: optional bool joining
+  9: optional list<ZoneShare> shares
 }
 
 struct DocumentReply {
