Spread the searchers over several upstream threads

Cause: the replies to a fan-out of 110 were read by one thread one after the other, which adds to the time of the slowest searcher. Change: PartitionedTransport gives each searcher to one of the upstream threads by its hash; [upstream] threads, 2 by default. Threads carry their duty's name.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -98,10 +98,16 @@
                                    registry_.Find<Tracer>(kTracer), metrics_,
                                    config_.frontend,
                                    FrontendIdentity{version_, config_.zone}));
+  std::vector<DutyThread*> upstream_threads;
+  for (std::uint32_t n = 0; n < config_.upstream_threads; ++n) {
+    upstream_.push_back(
+        std::make_unique<DutyThread>("upstream" + std::to_string(n)));
+    upstream_threads.push_back(upstream_.back().get());
+  }
   registry_.Publish(kUpstream,
                     std::make_shared<UpstreamSide>(
-                        upstream_, query_.context(), incarnation_, SystemSeed(),
-                        config_.outstanding_attempts, metrics_));
+                        upstream_threads, query_.context(), incarnation_,
+                        SystemSeed(), config_.outstanding_attempts, metrics_));
   registry_.Publish(kForwarder, std::make_shared<PeerForwarder>(
                                     query_, control_, kForwardedRequests));
 }
@@ -118,7 +124,7 @@
   registry_.Publish(
       kQuery,
       std::make_shared<QuerySide>(
-          query_.timers(), registry_.Find<UpstreamSide>(kUpstream).channel(),
+          query_.timers(), registry_.Find<UpstreamSide>(kUpstream).transport(),
           forwarder, metrics_, options));
   registry_.Publish(kControl,
                     std::make_shared<ControlSide>(
@@ -129,23 +135,24 @@
 void Daemon::Connect(std::shared_ptr<const Document> document) {
   QuerySide& query = registry_.Find<QuerySide>(kQuery);
   Frontend& frontend = registry_.Find<Frontend>(kFrontend);
-  UpstreamChannel& channel = registry_.Find<UpstreamSide>(kUpstream).channel();
+  PartitionedTransport& upstream =
+      registry_.Find<UpstreamSide>(kUpstream).transport();
   registry_.Find<FrontendBridge>(kBridge).SetService(query.metered_service());
   query_to_frontend_ = MakeTaskRing(frontend_.context(), kStateMessages);
   query.Start([this, &frontend](FrontendState state) {
     return query_to_frontend_->TryPush(
         [&frontend, state] { frontend.SetState(state); });
   });
-  channel.SetReportHandler([&query](const SearcherReport& report) {
+  upstream.SetReportHandler([&query](const SearcherReport& report) {
     query.router().ApplyReport(report);
   });
-  channel.SetMapHandler([&query](const ServiceName& service,
-                                 std::shared_ptr<const ShardMap> map) {
+  upstream.SetMapHandler([&query](const ServiceName& service,
+                                  std::shared_ptr<const ShardMap> map) {
     query.router().AddShardMap(service, std::move(map));
   });
   registry_.Find<ControlSide>(kControl).Start(
-      [&channel](const SearcherId& searcher, std::size_t share) {
-        channel.SetConnectionShare(searcher, share);
+      [&upstream](const SearcherId& searcher, std::size_t share) {
+        upstream.SetConnectionShare(searcher, share);
       },
       std::move(document));
 }
@@ -169,7 +176,10 @@
   TelemetryWriter& writer = registry_.Find<TelemetryWriter>(kTelemetryWriter);
   telemetry_.Start(nullptr);
   SetThisThreadTelemetryPort(&writer.AddPort("main", config_.telemetry_ring));
-  for (DutyThread* thread : {&control_, &upstream_, &query_, &frontend_})
+  std::vector<DutyThread*> threads = {&control_, &query_, &frontend_};
+  for (std::unique_ptr<DutyThread>& it : upstream_)
+    threads.push_back(it.get());
+  for (DutyThread* thread : threads)
     thread->Start(&writer.AddPort(thread->name(), config_.telemetry_ring));
 }
 
@@ -278,8 +288,10 @@
 }
 
 void Daemon::StopThreads() {
-  for (DutyThread* thread : {&frontend_, &query_, &upstream_, &control_})
+  for (DutyThread* thread : {&frontend_, &query_, &control_})
     thread->Stop();
+  for (std::unique_ptr<DutyThread>& it : upstream_)
+    it->Stop();
   SetThisThreadTelemetryPort(nullptr);
   // Writes what the other threads have logged.
   telemetry_.Finish();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -79,7 +79,7 @@
   // before the parts that it runs are destroyed.
   DutyThread telemetry_{"telemetry"};
   DutyThread control_{"control"};
-  DutyThread upstream_{"upstream"};
+  std::vector<std::unique_ptr<DutyThread>> upstream_;
   DutyThread query_{"query"};
   DutyThread frontend_{"frontend"};
   std::unique_ptr<TaskRing> query_to_frontend_;
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -162,7 +162,15 @@
      .key = "outstanding_attempts",
      .default_value = 65'536,
      .accepted = {.min = 256, .max = 1'000'000},
-     .doc = "Requests to searchers that have not been answered."});
+     .doc = "Requests to searchers that have not been answered, for each "
+            "upstream thread."});
+const Setting<std::uint32_t> kUpstreamThreads(
+    {.section = "upstream",
+     .key = "threads",
+     .default_value = 2,
+     .accepted = {.min = 1, .max = 16},
+     .doc = "Threads that share the connections to searchers. More of them "
+            "shorten a fan-out and use more cores."});
 
 const Setting<bool> kBaseline(
     {.section = "policy",
@@ -282,7 +290,10 @@
         &kIdleTime, &kWriteTime, &kLingerTime, &kConnections,
         &kRequestsInFlight, &kRingMessages},
        "Bounds on callers."},
-      {"upstream", false, {&kOutstandingAttempts}, "Bounds on searchers."},
+      {"upstream",
+       false,
+       {&kOutstandingAttempts, &kUpstreamThreads},
+       "Bounds on searchers."},
       {"policy", false, {&kBaseline}, "Decisions."},
       LogSection(),
       {"trace",
@@ -306,6 +317,7 @@
   config.shutdown_grace = settings.Get(kShutdownGrace);
   config.shutdown_limit = settings.Get(kShutdownLimit);
   config.outstanding_attempts = settings.Get(kOutstandingAttempts);
+  config.upstream_threads = settings.Get(kUpstreamThreads);
   config.baseline = settings.Get(kBaseline);
   config.log_format = settings.Get(kLogFormat);
   LogLevel level = settings.Get(kLogLevel);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -27,6 +27,7 @@
   Duration shutdown_grace{};
   Duration shutdown_limit{};
   std::uint32_t outstanding_attempts = 0;
+  std::uint32_t upstream_threads = 1;
   // Random replicas without hedges and admission, to compare against.
   bool baseline = false;
   LogFormat log_format = LogFormat::kText;
--- a/src/daemon/duty_thread.cc
+++ b/src/daemon/duty_thread.cc
@@ -1,5 +1,7 @@
 #include "daemon/duty_thread.h"
 
+#include <pthread.h>
+
 #include <boost/asio/post.hpp>
 #include <memory>
 #include <utility>
@@ -26,6 +28,8 @@
 void DutyThread::Start(TelemetryPort* port) {
   thread_ = std::thread([this, port] {
     SetThisThreadTelemetryPort(port);
+    // Shown by tools such as top; the system cuts names at 15 characters.
+    pthread_setname_np(pthread_self(), name_.substr(0, 15).c_str());
     context_.run();
   });
 }
--- a/src/daemon/upstream_side.cc
+++ b/src/daemon/upstream_side.cc
@@ -51,28 +51,46 @@
 
 }  // namespace
 
-UpstreamSide::UpstreamSide(DutyThread& thread,
+UpstreamSide::Lane::Lane(DutyThread& thread,
+                         boost::asio::io_context& query_context,
+                         IncarnationId incarnation,
+                         std::uint64_t seed,
+                         std::size_t capacity)
+    : transport(thread.context(), thread.timers(), incarnation, seed),
+      poller(transport, thread.timers(), seed + 1),
+      channel(query_context, thread.context(), transport, poller, capacity) {}
+
+UpstreamSide::UpstreamSide(const std::vector<DutyThread*>& threads,
                            boost::asio::io_context& query_context,
                            IncarnationId incarnation,
                            std::uint64_t seed,
                            std::size_t capacity,
                            MetricsRegistry& metrics)
-    : thread_(thread),
-      transport_(thread.context(), thread.timers(), incarnation, seed),
-      poller_(transport_, thread.timers(), seed + 1),
-      channel_(query_context, thread.context(), transport_, poller_, capacity) {
+    : first_thread_(*threads.front()) {
+  std::vector<UpstreamChannel*> channels;
+  for (DutyThread* thread : threads) {
+    seed += 2;
+    lanes_.push_back(std::make_unique<Lane>(*thread, query_context, incarnation,
+                                            seed, capacity));
+    channels.push_back(&lanes_.back()->channel);
+  }
+  transport_ = std::make_unique<PartitionedTransport>(std::move(channels));
   for (const ExportedStat& it : kExportedStats)
     exported_.emplace_back(
-        &(transport_.upstream_stats().*it.stat),
-        &metrics.AddGauge(std::string("jujubecove_upstream_") + it.name,
-                          it.help));
+        it.stat, &metrics.AddGauge(
+                     std::string("jujubecove_upstream_") + it.name, it.help));
   Export();
 }
 
 void UpstreamSide::Export() {
-  for (const std::pair<const StatCounter*, Gauge*>& it : exported_)
-    it.second->Set(static_cast<double>(it.first->value()));
-  thread_.timers().ScheduleAfter(kExportInterval, [this] { Export(); });
+  for (const auto& [stat, gauge] : exported_) {
+    double sum = 0.0;
+    for (const std::unique_ptr<Lane>& lane : lanes_)
+      sum +=
+          static_cast<double>((lane->transport.upstream_stats().*stat).value());
+    gauge->Set(sum);
+  }
+  first_thread_.timers().ScheduleAfter(kExportInterval, [this] { Export(); });
 }
 
 }  // namespace jujubecove
