Add the console command

Cause: operators change the document by editing a file and reading faults on a terminal. Change: jujubecovectl console serves a form for each section, built from the declared settings, on 127.0.0.1; it checks the entries, shows the difference from the document in force, and gives the canonical document to download or apply through the path of the apply command. Conclusion: the document has a form without a second description of its keys.

--- a/src/ctl/change_commands.cc
+++ b/src/ctl/change_commands.cc
@@ -84,39 +84,13 @@
   out << "\n";
 }
 
-void PrintReport(const ApplyReport& report, std::ostream& out) {
-  bool proposed = report.version != ConfigVersion();
-  if (proposed)
-    out << "version " << report.version.value() << " (after "
-        << report.base.value() << "): ";
-  else
-    out << "the change ";
-  if (report.outcome == ApplyOutcome::kUnknown)
-    out << "is unknown to be in force; run \"jujubecovectl history\"";
-  else if (report.outcome == ApplyOutcome::kNowhere)
-    out << "is in force nowhere";
-  else if (report.superseded)
-    out << "was in force and has been superseded";
-  else
-    out << (report.everywhere ? "is in force everywhere"
-                              : "is in force, not yet confirmed everywhere");
-  if (!report.reason.empty())
-    out << ": " << report.reason;
-  out << "\n";
-  if (!proposed)
-    return;
-  for (const ZoneReport& it : report.zones)
-    PrintZone(it, out);
-}
-
 ExitCode ApplyText(StoreSession& session,
                    ApplyRequest request,
                    const CommandContext& context) {
-  Result<std::vector<std::string>> zones = session.ReadZones();
-  if (!zones)
-    return context.Fail(ExitCode::kUnreachable, zones.error().detail);
-  ApplyReport report =
-      session.Apply(std::move(zones.value()), std::move(request));
+  Result<ApplyReport> result = ApplyDocument(session, std::move(request));
+  if (!result)
+    return context.Fail(ExitCode::kUnreachable, result.error().detail);
+  const ApplyReport& report = result.value();
   if (context.json)
     PrintJsonReport(report, context);
   else
@@ -198,6 +172,38 @@
 
 }  // namespace
 
+Result<ApplyReport> ApplyDocument(StoreSession& session, ApplyRequest request) {
+  Result<std::vector<std::string>> zones = session.ReadZones();
+  if (!zones)
+    return zones.error();
+  return session.Apply(std::move(zones.value()), std::move(request));
+}
+
+void PrintReport(const ApplyReport& report, std::ostream& out) {
+  bool proposed = report.version != ConfigVersion();
+  if (proposed)
+    out << "version " << report.version.value() << " (after "
+        << report.base.value() << "): ";
+  else
+    out << "the change ";
+  if (report.outcome == ApplyOutcome::kUnknown)
+    out << "is unknown to be in force; run \"jujubecovectl history\"";
+  else if (report.outcome == ApplyOutcome::kNowhere)
+    out << "is in force nowhere";
+  else if (report.superseded)
+    out << "was in force and has been superseded";
+  else
+    out << (report.everywhere ? "is in force everywhere"
+                              : "is in force, not yet confirmed everywhere");
+  if (!report.reason.empty())
+    out << ": " << report.reason;
+  out << "\n";
+  if (!proposed)
+    return;
+  for (const ZoneReport& it : report.zones)
+    PrintZone(it, out);
+}
+
 std::string ApplyCommand::help() const {
   return "Validates FILE, stages it at the live daemons of each zone, "
          "activates "
--- a/src/ctl/change_commands.h
+++ b/src/ctl/change_commands.h
@@ -1,12 +1,21 @@
 #pragma once
 
+#include <ostream>
 #include <string>
 #include <vector>
 
+#include "base/result.h"
+#include "config/activator.h"
 #include "ctl/command.h"
+#include "ctl/store_session.h"
 
 namespace jujubecove {
 
+// Applies a canonical document to all zones that have entry VMs.
+Result<ApplyReport> ApplyDocument(StoreSession& session, ApplyRequest request);
+// Prints the outcome of a change and the state of each zone for people.
+void PrintReport(const ApplyReport& report, std::ostream& out);
+
 class ApplyCommand : public Command {
  public:
   std::string name() const override { return "apply"; }
--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "ctl/change_commands.h"
+#include "ctl/console_server.h"
 #include "ctl/document_commands.h"
 #include "ctl/query_commands.h"
 
@@ -31,6 +32,7 @@
   commands.push_back(std::make_unique<ApplyCommand>());
   commands.push_back(std::make_unique<RevertCommand>());
   commands.push_back(std::make_unique<HistoryCommand>());
+  commands.push_back(std::make_unique<ConsoleCommand>());
   commands.push_back(std::make_unique<QueryCommand>());
   commands.push_back(std::make_unique<StatusCommand>());
   return commands;
--- /dev/null
+++ b/src/ctl/console_server.cc
@@ -0,0 +1,301 @@
+#include "ctl/console_server.h"
+
+#include <openssl/crypto.h>
+#include <openssl/rand.h>
+
+#include <array>
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+#include "ctl/change_commands.h"
+#include "document/document_parser.h"
+
+namespace jujubecove {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr char kCookieName[] = "jujubecove_console";
+
+std::optional<std::string> RandomText() {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::array<unsigned char, 32> bytes{};
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1)
+    return std::nullopt;
+  std::string text;
+  for (unsigned char it : bytes) {
+    text += kDigits[it / 16];
+    text += kDigits[it % 16];
+  }
+  return text;
+}
+
+// Takes the same time wherever the texts differ.
+bool IsSecret(std::string_view given, const std::string& secret) {
+  return given.size() == secret.size() &&
+         CRYPTO_memcmp(given.data(), secret.data(), secret.size()) == 0;
+}
+
+ConsoleResponse Respond(http::status status,
+                        const std::string& type,
+                        std::string body) {
+  ConsoleResponse response(status, 11);
+  response.set(http::field::content_type, type + "; charset=utf-8");
+  response.set("Content-Security-Policy",
+               "default-src 'none'; style-src 'self'; form-action 'self'; "
+               "frame-ancestors 'none'; base-uri 'none'");
+  response.set("X-Content-Type-Options", "nosniff");
+  response.set(http::field::cache_control, "no-store");
+  // With no-referrer, browsers would send "Origin: null" with each form.
+  response.set("Referrer-Policy", "same-origin");
+  response.body() = std::move(body);
+  response.keep_alive(false);
+  response.prepare_payload();
+  return response;
+}
+
+ConsoleResponse Page(std::string html) {
+  return Respond(http::status::ok, "text/html", std::move(html));
+}
+
+ConsoleResponse Refuse(http::status status, const std::string& why) {
+  return Respond(status, "text/html", RenderMessage("Refused", why));
+}
+
+std::string HeadlineOf(const ApplyReport& report) {
+  if (report.outcome == ApplyOutcome::kUnknown)
+    return "It is not known whether the document is in force";
+  if (report.outcome == ApplyOutcome::kInForce) {
+    if (report.superseded)
+      return "In force, and superseded since";
+    return report.everywhere ? "In force everywhere"
+                             : "In force, but not confirmed everywhere";
+  }
+  return report.conflict ? "Conflict: another change came first; in force "
+                           "nowhere"
+                         : "In force nowhere";
+}
+
+std::optional<ConfigVersion> ParseVersion(const std::string& text) {
+  std::uint64_t value = 0;
+  const char* last = text.data() + text.size();
+  auto [end, error] = std::from_chars(text.data(), last, value);
+  if (error != std::errc() || end != last)
+    return std::nullopt;
+  return ConfigVersion(value);
+}
+
+// Adds or removes a section as the pressed button says.
+void Change(std::vector<FormSection>& form, const std::string& action) {
+  constexpr std::string_view kRemove = "remove:";
+  if (action == "add-kind")
+    form.insert(form.begin(), FormSection{"kind", "", {}});
+  if (action == "add-service")
+    form.insert(form.begin(), FormSection{"service", "", {}});
+  if (!action.starts_with(kRemove))
+    return;
+  std::optional<ConfigVersion> index =
+      ParseVersion(action.substr(kRemove.size()));
+  if (index && index->value() < form.size())
+    form.erase(form.begin() + static_cast<std::ptrdiff_t>(index->value()));
+}
+
+}  // namespace
+
+std::optional<ConsoleHandler::Secrets> ConsoleHandler::MakeSecrets() {
+  std::optional<std::string> visit = RandomText();
+  std::optional<std::string> cookie = RandomText();
+  std::optional<std::string> token = RandomText();
+  if (!visit || !cookie || !token)
+    return std::nullopt;
+  return Secrets{*visit, *cookie, *token};
+}
+
+ConsoleHandler::ConsoleHandler(ConsoleBackend& backend,
+                               std::optional<std::string> file_text,
+                               std::uint16_t port,
+                               Secrets secrets)
+    : backend_(backend),
+      file_text_(std::move(file_text)),
+      port_(port),
+      secrets_(std::move(secrets)) {}
+
+bool ConsoleHandler::HasKnownHost(const ConsoleRequest& request) const {
+  std::string port = ":" + std::to_string(port_);
+  std::string host(request[http::field::host]);
+  return request.count(http::field::host) == 1 &&
+         (host == "127.0.0.1" + port || host == "localhost" + port);
+}
+
+bool ConsoleHandler::HasCookie(const ConsoleRequest& request) const {
+  std::string cookies(request[http::field::cookie]);
+  std::istringstream parts(cookies);
+  std::string part;
+  while (std::getline(parts, part, ';')) {
+    std::size_t start = part.find_first_not_of(' ');
+    std::string prefix = std::string(kCookieName) + "=";
+    if (start == std::string::npos ||
+        part.compare(start, prefix.size(), prefix))
+      continue;
+    if (IsSecret(part.substr(start + prefix.size()), secrets_.cookie))
+      return true;
+  }
+  return false;
+}
+
+ConsoleResponse ConsoleHandler::Visit(const std::string& target) const {
+  constexpr std::string_view kPrefix = "/?secret=";
+  if (!IsSecret(std::string_view(target).substr(kPrefix.size()),
+                secrets_.visit))
+    return Refuse(http::status::forbidden, "The secret is wrong.");
+  ConsoleResponse response = Respond(http::status::see_other, "text/html", "");
+  response.set(http::field::location, "/");
+  response.set(http::field::set_cookie,
+               std::string(kCookieName) + "=" + secrets_.cookie +
+                   "; HttpOnly; SameSite=Strict; Path=/");
+  return response;
+}
+
+ConsoleResponse ConsoleHandler::Handle(const ConsoleRequest& request) {
+  if (!HasKnownHost(request))
+    return Refuse(http::status::misdirected_request,
+                  "The Host header is not this console's.");
+  std::string target(request.target());
+  bool get = request.method() == http::verb::get;
+  if (get && target.starts_with("/?secret="))
+    return Visit(target);
+  if (!HasCookie(request))
+    return Refuse(http::status::forbidden,
+                  "Open the URL that jujubecovectl printed.");
+  if (get && target == "/")
+    return Load();
+  if (get && target == "/style.css")
+    return Respond(http::status::ok, "text/css", StyleSheet());
+  if (request.method() == http::verb::post &&
+      (target == "/edit" || target == "/submit"))
+    return Post(request);
+  return Refuse(http::status::not_found, "There is no such page.");
+}
+
+ConsoleResponse ConsoleHandler::Post(const ConsoleRequest& request) {
+  std::string origin(request[http::field::origin]);
+  if (request.count(http::field::origin) > 0 &&
+      origin != "http://" + std::string(request[http::field::host]))
+    return Refuse(http::status::forbidden, "The request has another origin.");
+  std::optional<FormFields> fields = DecodeForm(request.body());
+  if (!fields)
+    return Refuse(http::status::bad_request, "The form is malformed.");
+  if (!IsSecret(FieldOf(*fields, "token"), secrets_.token))
+    return Refuse(http::status::forbidden,
+                  "The form's token is not of this console; load it again.");
+  return request.target() == "/edit" ? Edit(*fields) : Submit(*fields);
+}
+
+void ConsoleHandler::Compare(ConsolePage& page) {
+  Result<InForceDocument> current = backend_.ReadInForce();
+  std::string old_text;
+  if (current) {
+    old_text = current.value().text;
+    std::string version = std::to_string(current.value().version.value());
+    page.compared_with = old_text.empty()
+                             ? "an empty document; none is in force"
+                             : "version " + version + ", in force";
+    if (!page.base.empty() && page.base != version)
+      page.notice = "The form was loaded from version " + page.base +
+                    ", but version " + version +
+                    " is in force; applying will be refused.";
+  } else {
+    page.compared_with = "the file; the platform did not answer";
+    page.notice = current.error().detail;
+    ParsedDocument file = ParseDocument(file_text_.value_or(""), "file");
+    if (file.ok())
+      old_text = CanonicalText(file.document);
+    else
+      page.compared_with = "an empty document; the platform did not answer";
+  }
+  page.changes = DiffTexts(old_text, page.document);
+}
+
+ConsoleResponse ConsoleHandler::Load() {
+  ConsolePage page;
+  page.token = secrets_.token;
+  Result<InForceDocument> current = backend_.ReadInForce();
+  if (current)
+    page.base = std::to_string(current.value().version.value());
+  else
+    page.notice = current.error().detail;
+  std::string text =
+      file_text_ ? *file_text_ : (current ? current.value().text : "");
+  std::vector<SettingFault> faults;
+  page.form = FormOfText(text, faults);
+  FormCheck check = CheckForm(page.form);
+  page.faults = std::move(check.faults);
+  for (const SettingFault& it : faults)
+    page.faults.push_back({-1, "", it.ToString()});
+  if (page.faults.empty()) {
+    page.document = std::move(check.text);
+    page.review = true;
+    Compare(page);
+  }
+  return Page(RenderPage(page));
+}
+
+ConsoleResponse ConsoleHandler::Edit(const FormFields& fields) {
+  ConsolePage page;
+  page.token = secrets_.token;
+  page.base = FieldOf(fields, "base");
+  page.form = FormOfFields(fields);
+  std::string action = FieldOf(fields, "do");
+  Change(page.form, action);
+  // A section that was just added has no values yet, which is no fault.
+  if (action != "review") {
+    page.notice = "Not checked yet.";
+    return Page(RenderPage(page));
+  }
+  FormCheck check = CheckForm(page.form);
+  page.faults = std::move(check.faults);
+  page.document = std::move(check.text);
+  page.review = true;
+  if (!page.document.empty())
+    Compare(page);
+  return Page(RenderPage(page));
+}
+
+ConsoleResponse ConsoleHandler::Submit(const FormFields& fields) {
+  ParsedDocument parsed = ParseDocument(FieldOf(fields, "document"), "form");
+  if (!parsed.ok())
+    return Refuse(http::status::bad_request, parsed.faults[0].ToString());
+  std::string text = CanonicalText(parsed.document);
+  std::string action = FieldOf(fields, "do");
+  if (action == "apply")
+    return Apply(fields, text);
+  if (action != "download")
+    return Refuse(http::status::bad_request, "There is no such action.");
+  ConsoleResponse response =
+      Respond(http::status::ok, "text/plain", std::move(text));
+  response.set(http::field::content_disposition,
+               "attachment; filename=\"document.ini\"");
+  return response;
+}
+
+ConsoleResponse ConsoleHandler::Apply(const FormFields& fields,
+                                      const std::string& text) {
+  ApplyRequest request;
+  request.text = text;
+  request.expected_base = ParseVersion(FieldOf(fields, "base"));
+  if (!request.expected_base)
+    return Refuse(http::status::bad_request,
+                  "The version that the form was loaded from is not known; "
+                  "nothing was changed.");
+  request.incomplete = FieldOf(fields, "incomplete") == "yes";
+  Result<ApplyReport> report = backend_.Apply(std::move(request));
+  if (!report)
+    return Page(RenderMessage("In force nowhere: nothing was changed",
+                              report.error().detail));
+  std::ostringstream out;
+  PrintReport(report.value(), out);
+  return Page(RenderMessage(HeadlineOf(report.value()), out.str()));
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/ctl/console_server.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "config/activator.h"
+#include "ctl/command.h"
+#include "ctl/console_form.h"
+#include "ctl/console_page.h"
+
+namespace jujubecove {
+
+// The document in force. Without any, the version is 0 and the text empty.
+struct InForceDocument {
+  ConfigVersion version;
+  std::string text;
+};
+
+// What the console needs of the platform; replaced in tests.
+class ConsoleBackend {
+ public:
+  virtual ~ConsoleBackend() = default;
+
+  virtual Result<InForceDocument> ReadInForce() = 0;
+  virtual Result<ApplyReport> Apply(ApplyRequest request) = 0;
+};
+
+using ConsoleRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using ConsoleResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// Answers the requests of one operator's browser. Knows nothing of sockets.
+class ConsoleHandler {
+ public:
+  // Unguessable texts of this process.
+  struct Secrets {
+    // In the printed URL; exchanged for the cookie.
+    std::string visit;
+    std::string cookie;
+    std::string token;
+  };
+  static std::optional<Secrets> MakeSecrets();
+
+  // `file_text` is the document that the form starts from, if there is a file.
+  ConsoleHandler(ConsoleBackend& backend,
+                 std::optional<std::string> file_text,
+                 std::uint16_t port,
+                 Secrets secrets);
+
+  ConsoleResponse Handle(const ConsoleRequest& request);
+
+ private:
+  bool HasKnownHost(const ConsoleRequest& request) const;
+  bool HasCookie(const ConsoleRequest& request) const;
+  ConsoleResponse Visit(const std::string& target) const;
+  ConsoleResponse Load();
+  ConsoleResponse Edit(const FormFields& fields);
+  ConsoleResponse Submit(const FormFields& fields);
+  ConsoleResponse Apply(const FormFields& fields, const std::string& text);
+  ConsoleResponse Post(const ConsoleRequest& request);
+  // Adds the difference from the document in force, else from the file.
+  void Compare(ConsolePage& page);
+
+  ConsoleBackend& backend_;
+  std::optional<std::string> file_text_;
+  std::uint16_t port_;
+  Secrets secrets_;
+};
+
+// Serves the console on 127.0.0.1 until SIGINT or SIGTERM. Port 0 takes any
+// free one.
+class ConsoleCommand : public Command {
+ public:
+  std::string name() const override { return "console"; }
+  std::string arguments() const override { return "[FILE] [PORT]"; }
+  std::string summary() const override {
+    return "serves a page on this machine to edit the document";
+  }
+  std::string help() const override;
+  ExitCode Run(const std::vector<std::string>& arguments,
+               const CommandContext& context) override;
+};
+
+}  // namespace jujubecove
--- a/src/document/document_parser.cc
+++ b/src/document/document_parser.cc
@@ -10,9 +10,8 @@
 #include "settings/settings.h"
 
 namespace jujubecove {
-namespace {
 
-const SettingsSchema& Schema() {
+const SettingsSchema& DocumentSchema() {
   const KindSettings& kind = DeclaredKindSettings();
   const ServiceSettings& service = DeclaredServiceSettings();
   static const SettingsSchema kSchema = {
@@ -31,6 +30,8 @@
   return kSchema;
 }
 
+namespace {
+
 KindSpec ReadKind(const Settings& settings, const std::string& name) {
   const KindSettings& keys = DeclaredKindSettings();
   KindSpec kind;
@@ -219,7 +220,7 @@
     return parsed;
   }
   IniFile ini = IniFile::Parse(file, text, parsed.faults);
-  Settings settings = Settings::Load(Schema(), ini, {}, parsed.faults);
+  Settings settings = Settings::Load(DocumentSchema(), ini, {}, parsed.faults);
   Document& document = parsed.document;
   for (const std::string& name : settings.NamesOf("service"))
     document.services.emplace(ServiceName(name), ReadService(settings, name));
@@ -243,7 +244,7 @@
 }
 
 std::string DescribeDocument() {
-  return DescribeSchema(Schema());
+  return DescribeSchema(DocumentSchema());
 }
 
 }  // namespace jujubecove
--- a/src/document/document_parser.h
+++ b/src/document/document_parser.h
@@ -8,6 +8,7 @@
 #include "document/document.h"
 #include "settings/setting.h"
 #include "settings/setting_fault.h"
+#include "settings/settings.h"
 
 namespace jujubecove {
 
@@ -46,6 +47,8 @@
 
 const KindSettings& DeclaredKindSettings();
 const ServiceSettings& DeclaredServiceSettings();
+// The sections of a document with these declarations.
+const SettingsSchema& DocumentSchema();
 
 struct ParsedDocument {
   // Complete only if there are no faults. Its version is left at zero.
--- a/src/settings/setting.h
+++ b/src/settings/setting.h
@@ -2,7 +2,9 @@
 
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
+#include <vector>
 
 #include "settings/setting_codec.h"
 
@@ -33,6 +35,8 @@
   virtual bool Accepts(const std::string& text) const = 0;
   // The one text of an accepted value; texts of equal values become equal.
   virtual std::string Canonical(const std::string& text) const = 0;
+  // The accepted texts of an enumeration or a bool; empty for other types.
+  virtual std::vector<std::string> Choices() const = 0;
   // Nothing for a setting that has to be given.
   virtual std::optional<std::string> DefaultText() const = 0;
 
@@ -85,6 +89,16 @@
   std::string Canonical(const std::string& text) const override {
     return Format(*Parse(text));
   }
+  std::vector<std::string> Choices() const override {
+    std::vector<std::string> names;
+    if constexpr (std::is_same_v<T, bool>) {
+      names = {"true", "false"};
+    } else if constexpr (std::is_enum_v<T>) {
+      for (const SettingChoice<T>& choice : accepted_)
+        names.push_back(choice.name);
+    }
+    return names;
+  }
   std::optional<std::string> DefaultText() const override {
     if (!default_value_)
       return std::nullopt;
