--- a/src/ctl/console_page.cc
+++ b/src/ctl/console_page.cc
@@ -225,10 +225,12 @@
       EscapeHtml(page.compared_with) + "</h2>\n";
   if (page.changes.empty())
     html += "<p>None.</p>\n";
-  html += "<ul>\n";
+  std::string rows;
   for (const DocumentChange& it : page.changes)
-    html += RenderChange(it);
-  html += "</ul>\n<form method=\"post\" action=\"/submit\">\n" +
+    rows += RenderChange(it);
+  if (!rows.empty())
+    html += "<ul>\n" + rows + "</ul>\n";
+  html += "<form method=\"post\" action=\"/submit\">\n" +
           Hidden("token", page.token) + Hidden("base", page.base) +
           Hidden("document", page.document) +
           Button("download", "Download the document");
--- a/src/ctl/console_server.cc
+++ b/src/ctl/console_server.cc
@@ -263,7 +263,10 @@
 }
 
 ConsoleResponse ConsoleHandler::Submit(const FormFields& fields) {
-  ParsedDocument parsed = ParseDocument(FieldOf(fields, "document"), "form");
+  // Browsers send the line ends of a field as CR LF.
+  std::string entered = FieldOf(fields, "document");
+  std::erase(entered, '\r');
+  ParsedDocument parsed = ParseDocument(entered, "form");
   if (!parsed.ok())
     return Refuse(http::status::bad_request, parsed.faults[0].ToString());
   std::string text = CanonicalText(parsed.document);
--- /dev/null
+++ b/tests/unit/ctl/console_listener_test.cc
@@ -0,0 +1,103 @@
+#include "ctl/console_listener.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace jujubecove {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class EmptyBackend : public ConsoleBackend {
+ public:
+  Result<InForceDocument> ReadInForce() override { return InForceDocument(); }
+  Result<ApplyReport> Apply(ApplyRequest) override { return ApplyReport(); }
+};
+
+class ConsoleListenerTest : public testing::Test {
+ protected:
+  void Start(ConsoleLimits limits) {
+    listener_ = std::make_unique<ConsoleListener>(io_, limits);
+    ASSERT_TRUE(listener_->Listen(0));
+    port_ = listener_->endpoint().port();
+    handler_ = std::make_unique<ConsoleHandler>(
+        backend_, std::nullopt, port_,
+        ConsoleHandler::Secrets{"visit-1", "cookie-1", "token-1"});
+    listener_->Start(*handler_);
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  void TearDown() override {
+    io_.stop();
+    if (thread_.joinable())
+      thread_.join();
+  }
+  // Sends bytes and returns everything up to the end of the connection.
+  std::string Exchange(const std::string& bytes) {
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), port_));
+    asio::write(socket, asio::buffer(bytes));
+    std::string reply;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(reply), ec);
+    return reply;
+  }
+  std::string Head(const std::string& first_line) const {
+    return first_line +
+           " HTTP/1.1\r\nHost: 127.0.0.1:" + std::to_string(port_) +
+           "\r\nCookie: jujubecove_console=cookie-1\r\n";
+  }
+
+  asio::io_context io_;
+  EmptyBackend backend_;
+  std::unique_ptr<ConsoleListener> listener_;
+  std::unique_ptr<ConsoleHandler> handler_;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+// Guards against a console that other machines can reach.
+TEST_F(ConsoleListenerTest, ListensOnLoopbackOnly) {
+  Start({});
+  EXPECT_EQ(listener_->endpoint().address().to_string(), "127.0.0.1");
+  EXPECT_TRUE(Exchange(Head("GET /") + "\r\n").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a body that takes up the memory. Only the length
+// of the body is sent, so that no unread bytes reset the connection.
+TEST_F(ConsoleListenerTest, RefusesLongBodies) {
+  Start({});
+  std::string head = Head("POST /edit") + "Content-Length: ";
+  EXPECT_TRUE(Exchange(head + std::to_string(4 * 1024 * 1024 + 1) + "\r\n\r\n")
+                  .starts_with("HTTP/1.1 413"));
+  std::string body(4 * 1024 * 1024, 'a');
+  EXPECT_TRUE(Exchange(head + std::to_string(body.size()) + "\r\n\r\n" + body)
+                  .starts_with("HTTP/1.1 403"));
+}
+
+// Guards against a header that takes up the memory. The bytes beyond the bound
+// may reset the connection, so there may be no answer to read.
+TEST_F(ConsoleListenerTest, RefusesLongHeaders) {
+  Start({.header_bytes = 1024});
+  std::string reply =
+      Exchange(Head("GET /") + "X: " + std::string(4096, 'a') + "\r\n\r\n");
+  EXPECT_TRUE(reply.empty() || reply.starts_with("HTTP/1.1 431")) << reply;
+}
+
+// Guards against a stalled request that is kept for ever.
+TEST_F(ConsoleListenerTest, ClosesStalledRequests) {
+  Start({.request_time = std::chrono::milliseconds(20)});
+  EXPECT_EQ(Exchange(Head("GET /")), "");
+}
+
+}  // namespace
+}  // namespace jujubecove
