Declare the console command in a header of its own

Cause: the command was declared beside the request handler, which is defined in another file; clang-tidy took a subscript for a cast. Change: add console_command.h, name the secret's view, test wrong arguments. Conclusion: each file declares what it defines, and wrong arguments start no server.

--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -5,7 +5,7 @@
 #include <sstream>
 
 #include "ctl/change_commands.h"
-#include "ctl/console_server.h"
+#include "ctl/console_command.h"
 #include "ctl/document_commands.h"
 #include "ctl/query_commands.h"
 
--- a/src/ctl/console_command.cc
+++ b/src/ctl/console_command.cc
@@ -1,3 +1,5 @@
+#include "ctl/console_command.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
--- a/src/ctl/console_server.cc
+++ b/src/ctl/console_server.cc
@@ -146,8 +146,9 @@
 
 ConsoleResponse ConsoleHandler::Visit(const std::string& target) const {
   constexpr std::string_view kPrefix = "/?secret=";
-  if (!IsSecret(std::string_view(target).substr(kPrefix.size()),
-                secrets_.visit))
+  std::string_view given = target;
+  given.remove_prefix(kPrefix.size());
+  if (!IsSecret(given, secrets_.visit))
     return Refuse(http::status::forbidden, "The secret is wrong.");
   ConsoleResponse response = Respond(http::status::see_other, "text/html", "");
   response.set(http::field::location, "/");
--- a/src/ctl/console_server.h
+++ b/src/ctl/console_server.h
@@ -9,7 +9,6 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "config/activator.h"
-#include "ctl/command.h"
 #include "ctl/console_form.h"
 #include "ctl/console_page.h"
 
@@ -73,18 +72,4 @@
   Secrets secrets_;
 };
 
-// Serves the console on 127.0.0.1 until SIGINT or SIGTERM. Port 0 takes any
-// free one.
-class ConsoleCommand : public Command {
- public:
-  std::string name() const override { return "console"; }
-  std::string arguments() const override { return "[FILE] [PORT]"; }
-  std::string summary() const override {
-    return "serves a page on this machine to edit the document";
-  }
-  std::string help() const override;
-  ExitCode Run(const std::vector<std::string>& arguments,
-               const CommandContext& context) override;
-};
-
 }  // namespace jujubecove
--- a/tests/unit/ctl/console_listener_test.cc
+++ b/tests/unit/ctl/console_listener_test.cc
@@ -8,9 +8,12 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <thread>
 
+#include "ctl/console_command.h"
+
 namespace jujubecove {
 namespace {
 
@@ -99,5 +102,18 @@
   EXPECT_EQ(Exchange(Head("GET /")), "");
 }
 
+// Guards against a console that starts with other arguments than it was given.
+TEST(ConsoleCommandTest, RefusesWrongArguments) {
+  std::ostringstream out;
+  std::ostringstream err;
+  CommandContext context{"", "", false, out, err};
+  ConsoleCommand command;
+  EXPECT_EQ(command.Run({"a", "b", "0"}, context), ExitCode::kUsage);
+  EXPECT_EQ(command.Run({"/absent/document.ini", "0"}, context),
+            ExitCode::kUsage);
+  EXPECT_EQ(command.Run({"65536"}, context), ExitCode::kUsage);
+  EXPECT_EQ(out.str(), "");
+}
+
 }  // namespace
 }  // namespace jujubecove
