--- a/src/document/document_parser.h
+++ b/src/document/document_parser.h
@@ -6,6 +6,7 @@
 
 #include "document/document.h"
 #include "settings/setting_fault.h"
+#include "settings/settings.h"
 
 namespace jujubecove {
 
@@ -13,6 +14,9 @@
 // store holds.
 inline constexpr std::size_t kMaxDocumentBytes = 1024UL * 1024;
 
+// The sections of a document with their declarations.
+const SettingsSchema& DocumentSchema();
+
 struct ParsedDocument {
   // Complete only if there are no faults. Its version is left at zero.
   Document document;
