--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -25,8 +25,9 @@
     {ErrorKind::kNoUpstream, "no_upstream", 503, Execution::kNotRun},
     {ErrorKind::kNotReady, "not_ready", 503, Execution::kNotRun},
     {ErrorKind::kShuttingDown, "shutting_down", 503, Execution::kNotRun},
+    // Nothing was read, so the request may be the repeat of one that ran.
     {ErrorKind::kTooManyConnections, "too_many_connections", 503,
-     Execution::kNotRun},
+     Execution::kUnknown},
     {ErrorKind::kCoverageTooLow, "coverage_too_low", 503, Execution::kUnknown},
     {ErrorKind::kSnapshotUnavailable, "snapshot_unavailable", 503,
      Execution::kUnknown},
--- a/tests/standin/config_fleet.cc
+++ b/tests/standin/config_fleet.cc
@@ -1,4 +1,4 @@
-#include "standin/config_fleet.h"
+#include "tests/standin/config_fleet.h"
 
 #include <utility>
 
--- a/tests/standin/config_fleet.h
+++ b/tests/standin/config_fleet.h
@@ -10,10 +10,10 @@
 #include "config/config_agent.h"
 #include "kernel/fake_timer_service.h"
 #include "membership/membership.h"
-#include "standin/fake_peer_network.h"
-#include "standin/fake_store.h"
-#include "standin/node_timers.h"
-#include "standin/store_model.h"
+#include "tests/standin/fake_peer_network.h"
+#include "tests/standin/fake_store.h"
+#include "tests/standin/node_timers.h"
+#include "tests/standin/store_model.h"
 
 namespace jujubecove {
 
--- a/tests/standin/fake_peer_network.cc
+++ b/tests/standin/fake_peer_network.cc
@@ -1,4 +1,4 @@
-#include "standin/fake_peer_network.h"
+#include "tests/standin/fake_peer_network.h"
 
 #include <memory>
 #include <random>
--- a/tests/standin/fake_store.cc
+++ b/tests/standin/fake_store.cc
@@ -1,4 +1,4 @@
-#include "standin/fake_store.h"
+#include "tests/standin/fake_store.h"
 
 #include <utility>
 #include <vector>
--- a/tests/standin/fake_store.h
+++ b/tests/standin/fake_store.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "kernel/timer_service.h"
-#include "standin/store_model.h"
 #include "store/store.h"
 #include "store/vm_list.h"
+#include "tests/standin/store_model.h"
 
 namespace jujubecove {
 
--- a/tests/standin/platform_server.cc
+++ b/tests/standin/platform_server.cc
@@ -1,4 +1,4 @@
-#include "standin/platform_server.h"
+#include "tests/standin/platform_server.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/tests/standin/platform_server.h
+++ b/tests/standin/platform_server.h
@@ -11,7 +11,7 @@
 #include <string_view>
 
 #include "kernel/asio_timer_service.h"
-#include "standin/store_model.h"
+#include "tests/standin/store_model.h"
 
 namespace jujubecove {
 
--- a/tests/standin/standin_platform_main.cc
+++ b/tests/standin/standin_platform_main.cc
@@ -9,7 +9,7 @@
 #include <iterator>
 #include <string>
 
-#include "standin/platform_server.h"
+#include "tests/standin/platform_server.h"
 
 DEFINE_string(ip, "127.0.0.1", "address to listen on");
 DEFINE_int32(port, 7400, "TCP port to listen on; 0 lets the system choose");
--- a/tests/standin/store_model.cc
+++ b/tests/standin/store_model.cc
@@ -1,4 +1,4 @@
-#include "standin/store_model.h"
+#include "tests/standin/store_model.h"
 
 #include <random>
 #include <utility>
--- a/tests/unit/config/config_scenario_test.cc
+++ b/tests/unit/config/config_scenario_test.cc
@@ -4,7 +4,7 @@
 
 #include "config/activator.h"
 #include "config/config_agent.h"
-#include "standin/config_fleet.h"
+#include "tests/standin/config_fleet.h"
 
 namespace jujubecove {
 namespace {
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "kernel/fake_timer_service.h"
-#include "standin/fake_peer_network.h"
-#include "standin/node_timers.h"
+#include "tests/standin/fake_peer_network.h"
+#include "tests/standin/node_timers.h"
 
 namespace jujubecove {
 namespace {
--- a/tests/unit/store/http_store_test.cc
+++ b/tests/unit/store/http_store_test.cc
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "standin/platform_server.h"
+#include "tests/standin/platform_server.h"
 
 namespace jujubecove {
 namespace {
