--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -9,7 +9,7 @@
 
 #include "bench/policy_simulation.h"
 #include "bench/simple_admission.h"
-#include "unit/admission/simulated_service.h"
+#include "tests/unit/admission/simulated_service.h"
 
 namespace jujubecove {
 namespace {
--- a/tests/unit/admission/overload_test.cc
+++ b/tests/unit/admission/overload_test.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "unit/admission/simulated_service.h"
+#include "tests/unit/admission/simulated_service.h"
 
 namespace jujubecove {
 namespace {
--- a/tests/unit/routing/router_test.cc
+++ b/tests/unit/routing/router_test.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 #include "routing/make_router.h"
-#include "unit/routing/router_fixture.h"
+#include "tests/unit/routing/router_fixture.h"
 
 namespace jujubecove {
 namespace {
--- a/tests/unit/routing/snapshot_test.cc
+++ b/tests/unit/routing/snapshot_test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "unit/routing/router_fixture.h"
+#include "tests/unit/routing/router_fixture.h"
 
 namespace jujubecove {
 namespace {
