--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -39,7 +39,8 @@
 
 bool IsComplete(const LoadSample& sample);
 
-// Runs `action` on another thread after `delay`; joins when destroyed.
+// Runs `action` on another thread after `delay`; joins at the latest when
+// destroyed.
 class DelayedAction {
  public:
   DelayedAction(std::chrono::milliseconds delay, std::function<void()> action)
@@ -47,7 +48,12 @@
           std::this_thread::sleep_for(delay);
           action();
         }) {}
-  ~DelayedAction() { thread_.join(); }
+  ~DelayedAction() { Join(); }
+
+  void Join() {
+    if (thread_.joinable())
+      thread_.join();
+  }
 
  private:
   std::thread thread_;
