--- a/bench/gather_bench.cc
+++ b/bench/gather_bench.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/open_admission.h"
 #include "bench/report.h"
 #include "gather/query_engine_impl.h"
 #include "kernel/fake_timer_service.h"
@@ -77,21 +78,6 @@
   SearcherId searcher_{"10.20.30.40:18080"};
 };
 
-class OpenAdmission : public AdmissionQueue {
- public:
-  void SetHandlers(AdmitHandler admit, RefuseHandler) override {
-    admit_ = std::move(admit);
-  }
-  void SetDocument(const Document&, std::size_t) override {}
-  void Offer(const AdmissionItem& item) override { admit_(item.request); }
-  bool Withdraw(RequestId) override { return false; }
-  void Finished(RequestId, const AdmissionFeedback&) override {}
-  std::size_t queued() const override { return 0; }
-
- private:
-  AdmitHandler admit_;
-};
-
 class HoldingTransport : public UpstreamTransport {
  public:
   void SetReplyHandler(ReplyHandler handler) override {
