Bound requests at a searcher and give up those that would be late

A daemon now counts for 18 s after it left, and a new process gets its share of the slack over one window.

Attempts now wait in the order of their targets, at most two per slot are at a searcher, and one that would be late is not sent.

--- a/src/discovery/fleet_membership.cc
+++ b/src/discovery/fleet_membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "telemetry/log.h"
 
@@ -15,6 +16,9 @@
 constexpr Duration kLeaseTtl = seconds(600);
 constexpr Duration kRenewInterval = seconds(180);
 constexpr Duration kRetryDelay = seconds(3);
+// A daemon that has left counts for this long: its shutdown of several seconds
+// and then one window of the repeat budget.
+constexpr Duration kCountedAfterLeaving = seconds(18);
 
 }  // namespace
 
@@ -100,21 +104,37 @@
 
 void FleetMembership::OnDaemon(const std::string& id, bool present) {
   if (present) {
-    daemons_.insert(id);
+    daemons_[id] = std::nullopt;
     if (listing_)
       listed_.insert(id);
   } else {
-    daemons_.erase(id);
-    // The store may take a registration away although its lease lives on.
-    if (id == vm_.value() && registered_) {
-      lease_ = StoreLease{};
-      Register();
-    }
+    MarkGone(id);
   }
   if (!listing_)
     ReportSize();
 }
 
+void FleetMembership::MarkGone(const std::string& id) {
+  auto it = daemons_.find(id);
+  if (it == daemons_.end() || it->second)
+    return;
+  it->second = timers_.Now();
+  timers_.ScheduleAfter(kCountedAfterLeaving, [this] { ForgetGone(); });
+  // The store may take a registration away although its lease lives on.
+  if (id == vm_.value() && registered_) {
+    lease_ = StoreLease{};
+    Register();
+  }
+}
+
+void FleetMembership::ForgetGone() {
+  TimePoint now = timers_.Now();
+  std::erase_if(daemons_, [now](const auto& it) {
+    return it.second && now - *it.second >= kCountedAfterLeaving;
+  });
+  ReportSize();
+}
+
 void FleetMembership::BeginListing() {
   listing_ = true;
   listed_.clear();
@@ -122,10 +142,14 @@
 
 void FleetMembership::EndListing() {
   listing_ = false;
-  daemons_ = std::move(listed_);
+  std::vector<std::string> missing;
+  for (const auto& [id, gone_at] : daemons_) {
+    if (!listed_.contains(id))
+      missing.push_back(id);
+  }
+  for (const std::string& id : missing)
+    MarkGone(id);
   listed_.clear();
-  if (registered_ && !daemons_.contains(vm_.value()))
-    OnDaemon(vm_.value(), false);
   ReportSize();
 }
 
--- a/src/discovery/fleet_membership.h
+++ b/src/discovery/fleet_membership.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 
 #include "discovery/registration_codec.h"
@@ -11,8 +13,10 @@
 namespace jujubecove {
 
 // Registers this entry daemon in the store under a lease and counts those that
-// are registered. A daemon that was lost counts until its lease ends, which
-// only makes the others take smaller shares for a while.
+// are registered. A daemon that has left still counts for a while: it works on
+// until it ends, and what it spent of shared budgets counts until their window
+// has passed. One that was lost counts until its lease ends. Both only make the
+// others take smaller shares than they could.
 class FleetMembership {
  public:
   using SizeListener = std::function<void(int)>;
@@ -40,6 +44,8 @@
   void OnRegistered(KvStatus status);
   void Renew();
   void RetryLater();
+  void MarkGone(const std::string& id);
+  void ForgetGone();
   void ReportSize();
 
   TimerService& timers_;
@@ -48,7 +54,8 @@
   VmId vm_;
   ZoneName zone_;
   SizeListener on_size_;
-  std::unordered_set<std::string> daemons_;
+  // By id, with the time at which a registration was removed.
+  std::unordered_map<std::string, std::optional<TimePoint>> daemons_;
   std::unordered_set<std::string> listed_;
   bool listing_ = false;
   bool joined_ = false;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -12,6 +12,12 @@
 // Daemons that may join before the others have learned of them. Each finds
 // connections free at every searcher.
 constexpr int kSpareDaemons = 2;
+// Requests of the whole fleet at a searcher for each of its slots. More would
+// only wait there, where they can't be reordered or given up.
+constexpr int kRequestsPerSlot = 2;
+// A daemon may have this many requests at a searcher in any case, so that it
+// can use free slots while the others are idle.
+constexpr int kLeastRequests = 2;
 
 }  // namespace
 
@@ -24,6 +30,7 @@
       transport_(transport),
       log_(log),
       options_(std::move(options)),
+      started_(timers.Now()),
       random_(seed),
       launcher_(timers, transport),
       context_{timers_, launcher_, random_, log_, options_} {}
@@ -98,7 +105,9 @@
   if (spec == nullptr)
     return;
   int share = spec->max_connections / (fleet_size_ + kSpareDaemons);
-  transport_.SetConnectionLimit(entry, std::max(share, 1));
+  int wanted = (entry.slots * kRequestsPerSlot + fleet_size_ - 1) / fleet_size_;
+  int limit = std::min(share, std::max(wanted, kLeastRequests));
+  transport_.SetConnectionLimit(entry, std::max(limit, 1));
 }
 
 void Dispatcher::ApplyConnectionLimits() {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -49,6 +49,7 @@
   SearcherTransport& transport_;
   DecisionLog& log_;
   DispatchOptions options_;
+  TimePoint started_;
   RandomEngine random_;
   AttemptLauncher launcher_;
   RunContext context_;
--- a/src/dispatch/repeat_budget.cc
+++ b/src/dispatch/repeat_budget.cc
@@ -14,10 +14,8 @@
 }  // namespace
 
 FleetRepeatBudget::FleetRepeatBudget(const RepeatBudgetOptions& options,
-                                     TimePoint now)
-    : options_(options) {
-  Current(now);
-}
+                                     TimePoint process_start)
+    : options_(options), process_start_(process_start) {}
 
 FleetRepeatBudget::Slice& FleetRepeatBudget::Current(TimePoint now) {
   Duration length = options_.window / kSlices;
@@ -32,9 +30,12 @@
   ++Current(now).requests;
 }
 
-double FleetRepeatBudget::Allowed(double requests) const {
-  return kUsedShare *
-         (options_.ratio * requests + options_.slack / fleet_size_);
+// What an earlier process on this VM spent is not known, so its share of the
+// slack becomes available again only as the window passes.
+double FleetRepeatBudget::SlackShare(TimePoint now) const {
+  double age = ToMilliseconds(now - process_start_);
+  double passed = std::clamp(age / ToMilliseconds(options_.window), 0.0, 1.0);
+  return passed * options_.slack / fleet_size_;
 }
 
 double FleetRepeatBudget::available(TimePoint now) {
@@ -48,12 +49,12 @@
     requests += it.requests;
     repeats += it.repeats;
   }
-  return Allowed(requests) - repeats;
+  return kUsedShare * (options_.ratio * requests + SlackShare(now)) - repeats;
 }
 
 bool FleetRepeatBudget::TryTake(TimePoint now, double reserve_share) {
   double left = available(now);
-  double reserve = reserve_share * options_.slack / fleet_size_;
+  double reserve = reserve_share * SlackShare(now);
   if (left < 1.0 + reserve)
     return false;
   ++Current(now).repeats;
--- a/src/dispatch/repeat_budget.h
+++ b/src/dispatch/repeat_budget.h
@@ -20,7 +20,9 @@
 // requests, and an equal share of the slack.
 class FleetRepeatBudget {
  public:
-  FleetRepeatBudget(const RepeatBudgetOptions& options, TimePoint now);
+  // `process_start` is when this daemon started.
+  FleetRepeatBudget(const RepeatBudgetOptions& options,
+                    TimePoint process_start);
 
   // A request for the service has come; its first attempt is no repeat.
   void CountRequest(TimePoint now);
@@ -44,9 +46,10 @@
 
   Slice& Current(TimePoint now);
   bool TryTake(TimePoint now, double reserve_share);
-  double Allowed(double requests) const;
+  double SlackShare(TimePoint now) const;
 
   RepeatBudgetOptions options_;
+  TimePoint process_start_;
   int fleet_size_ = 1;
   // One slice more than the window, so that the oldest one counts whole.
   std::array<Slice, kSlices + 1> slices_{};
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -83,10 +83,13 @@
 }
 
 AttemptId RequestRun::Launch(const PooledSearcherPtr& searcher,
+                             TimePoint useful_until,
                              AttemptLauncher::ReplyHandler done) {
   std::shared_ptr<RequestRun> self = shared_from_this();
+  AttemptTiming timing{deadline_, std::min(useful_until, deadline_),
+                       subject_.latency->usual()};
   return context_.launcher.Launch(
-      searcher, subject_.request, subject_.latency, deadline_,
+      searcher, subject_.request, subject_.latency, timing,
       [self, done = std::move(done)](AttemptReply reply) {
         if (!self->finished_)
           done(std::move(reply));
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -60,7 +60,9 @@
   const Route& route() const { return *subject_.route; }
   const RunSubject& subject() const { return subject_; }
   RunContext& context() { return context_; }
+  // The reply is of use until then.
   AttemptId Launch(const PooledSearcherPtr& searcher,
+                   TimePoint useful_until,
                    AttemptLauncher::ReplyHandler done);
   DecisionLine Log(std::string_view event, DecisionRank rank);
 
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -55,6 +55,11 @@
   ScheduleWake();
 }
 
+TimePoint ScatterRun::UsefulUntil() const {
+  bool spare = shards_.size() - lost_ > required();
+  return spare && now() < target_time() ? target_time() : deadline();
+}
+
 bool ScatterRun::LaunchNext(std::size_t index) {
   Shard& shard = shards_[index];
   PooledSearcherPtr searcher = shard.pool->Select(
@@ -66,7 +71,7 @@
   shard.hedge_at =
       now() + subject().latency->HedgeDelay(context().options.hedge_quantile);
   auto id = std::make_shared<AttemptId>();
-  *id = Launch(searcher, [this, index, id](AttemptReply reply) {
+  *id = Launch(searcher, UsefulUntil(), [this, index, id](AttemptReply reply) {
     OnReply(index, *id, std::move(reply));
   });
   shard.running.push_back(*id);
@@ -82,7 +87,7 @@
     anything_sent_ = true;
   if (reply.outcome == AttemptResult::kNotSent) {
     --shard.sent;
-    if (shard.tried.size() > 1)
+    if (shard.sent > 0)
       shard.pool->budget().Return();
   }
   if (shard.answered)
@@ -114,10 +119,13 @@
 void ScatterRun::RetryOrLose(std::size_t index) {
   Shard& shard = shards_[index];
   bool more = shard.sent < route().max_attempts && now() < deadline();
-  if (more && shard.pool->budget().TryTakeRetry(now())) {
+  // Nothing has arrived at the shard yet, so the next attempt is no repeat.
+  bool is_first = shard.sent == 0;
+  if (more && (is_first || shard.pool->budget().TryTakeRetry(now()))) {
     if (LaunchNext(index))
       return;
-    shard.pool->budget().Return();
+    if (!is_first)
+      shard.pool->budget().Return();
   }
   shard.lost = true;
   ++lost_;
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -41,6 +41,8 @@
   };
 
   bool LaunchNext(std::size_t index);
+  // Until when a part is of use: an answer without it can be in time.
+  TimePoint UsefulUntil() const;
   void OnReply(std::size_t index, AttemptId attempt, AttemptReply reply);
   void AcceptPart(Shard& shard, AttemptReply reply);
   void RetryOrLose(std::size_t index);
--- a/src/dispatch/searcher_transport.h
+++ b/src/dispatch/searcher_transport.h
@@ -54,6 +54,17 @@
          outcome == AttemptResult::kNotSent;
 }
 
+// When a reply is of use.
+struct AttemptTiming {
+  // The searcher is told what is left until then.
+  TimePoint deadline;
+  // An attempt that is not written early enough for a reply by then is not sent
+  // at all.
+  TimePoint useful_until;
+  // How long the searcher is expected to take.
+  Duration expected{};
+};
+
 // Sends attempts to searchers over shared connections.
 class SearcherTransport {
  public:
@@ -61,12 +72,13 @@
 
   virtual ~SearcherTransport() = default;
 
-  // Calls `done` exactly once unless the attempt is cancelled. The searcher is
-  // told what is left until `deadline`.
+  // Calls `done` exactly once unless the attempt is cancelled, and never before
+  // it returns. Attempts that wait for a connection are sent in the order of
+  // `useful_until`.
   virtual void Send(AttemptId attempt,
                     const SearcherEntry& searcher,
                     ForwardedRequestPtr request,
-                    TimePoint deadline,
+                    const AttemptTiming& timing,
                     ReplyHandler done) = 0;
   // Forgets the attempt. If it was sent, its connection is closed, so that the
   // searcher stops working on it. False when it was never written to a
@@ -74,7 +86,8 @@
   virtual bool Cancel(AttemptId attempt) = 0;
   // Whether the request was written to a connection.
   virtual bool IsWritten(AttemptId attempt) const = 0;
-  // Most connections to this searcher from now on.
+  // Most connections to this searcher from now on, which is also the most
+  // requests that it gets from here at a time.
   virtual void SetConnectionLimit(const SearcherEntry& searcher, int limit) = 0;
   // Closes the idle connections to a searcher that gets nothing new.
   virtual void Retire(const InstanceId& searcher) = 0;
--- a/src/dispatch/service_pool.h
+++ b/src/dispatch/service_pool.h
@@ -25,10 +25,10 @@
   ServicePool(ServiceName name,
               ZoneName own_zone,
               const RepeatBudgetOptions& budget,
-              TimePoint now)
+              TimePoint process_start)
       : name_(std::move(name)),
         own_zone_(std::move(own_zone)),
-        budget_(budget, now) {}
+        budget_(budget, process_start) {}
 
   void Add(PooledSearcherPtr searcher);
   void Remove(const InstanceId& id);
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -44,7 +44,7 @@
   ++sent_;
   hedge_at_ = now() + subject().latency->HedgeDelay(kHedgeQuantile);
   auto id = std::make_shared<AttemptId>();
-  *id = Launch(searcher, [this, id](AttemptReply reply) {
+  *id = Launch(searcher, deadline(), [this, id](AttemptReply reply) {
     OnReply(*id, std::move(reply));
   });
   running_.push_back(*id);
@@ -58,7 +58,7 @@
     may_have_run_ = true;
   if (outcome == AttemptResult::kNotSent) {
     --sent_;
-    if (tried_.size() > 1)
+    if (sent_ > 0)
       pool_->budget().Return();
   }
   if (outcome == AttemptResult::kSuccess) {
@@ -83,13 +83,16 @@
   bool allowed = IsProvenNotRun(outcome) || route().idempotent;
   if (!allowed || sent_ >= route().max_attempts || now() >= deadline())
     return false;
-  if (!pool_->budget().TryTakeRetry(now()))
+  // Nothing has arrived at the service yet, so the next attempt is no repeat.
+  bool is_first = sent_ == 0;
+  if (!is_first && !pool_->budget().TryTakeRetry(now()))
     return false;
   if (LaunchNext()) {
     ScheduleWake();
     return true;
   }
-  pool_->budget().Return();
+  if (!is_first)
+    pool_->budget().Return();
   return false;
 }
 
--- a/src/egress/searcher_connections.cc
+++ b/src/egress/searcher_connections.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace jujubecove {
 namespace {
@@ -35,17 +36,52 @@
       searcher_(std::move(searcher)) {}
 
 SearcherConnections::~SearcherConnections() {
+  timers_.Cancel(drop_timer_);
   while (!connections_.empty())
     Close(connections_.begin());
 }
 
 void SearcherConnections::Send(AttemptId attempt,
                                ForwardedRequestPtr request,
-                               TimePoint deadline,
+                               const AttemptTiming& timing,
                                SearcherTransport::ReplyHandler done) {
-  waiting_.push_back(
-      Attempt{attempt, std::move(request), deadline, std::move(done)});
+  auto position =
+      std::upper_bound(waiting_.begin(), waiting_.end(), timing.useful_until,
+                       [](TimePoint useful_until, const Attempt& it) {
+                         return useful_until < it.timing.useful_until;
+                       });
+  waiting_.insert(
+      position, Attempt{attempt, std::move(request), timing, std::move(done)});
   Assign();
+  ScheduleDrop();
+}
+
+void SearcherConnections::ScheduleDrop() {
+  timers_.Cancel(drop_timer_);
+  if (waiting_.empty())
+    return;
+  const AttemptTiming& timing = waiting_.front().timing;
+  drop_timer_ = timers_.ScheduleAt(timing.useful_until - timing.expected,
+                                   [this] { DropLate(); });
+}
+
+void SearcherConnections::DropLate() {
+  std::vector<Attempt> late;
+  TimePoint now = timers_.Now();
+  while (!waiting_.empty()) {
+    const AttemptTiming& timing = waiting_.front().timing;
+    if (now < timing.useful_until - timing.expected)
+      break;
+    late.push_back(std::move(waiting_.front()));
+    waiting_.pop_front();
+  }
+  ScheduleDrop();
+  for (Attempt& it : late) {
+    AttemptReply reply;
+    reply.outcome = AttemptResult::kNotSent;
+    reply.failure = "no connection free in time";
+    it.done(std::move(reply));
+  }
 }
 
 void SearcherConnections::Assign() {
@@ -117,6 +153,7 @@
 void SearcherConnections::FailWaiting(const std::string& reason) {
   std::deque<Attempt> failed = std::move(waiting_);
   waiting_.clear();
+  timers_.Cancel(drop_timer_);
   for (Attempt& it : failed) {
     AttemptReply reply;
     reply.outcome = AttemptResult::kNotSent;
@@ -137,7 +174,7 @@
 
 void SearcherConnections::Write(Iterator it, Attempt attempt) {
   TimePoint now = timers_.Now();
-  Duration remaining = std::max(attempt.deadline - now, Duration(1000));
+  Duration remaining = std::max(attempt.timing.deadline - now, Duration(1000));
   ++stats_.requests_sent;
   it->sent_at = now;
   std::string head =
--- a/src/egress/searcher_connections.h
+++ b/src/egress/searcher_connections.h
@@ -14,8 +14,9 @@
 
 namespace jujubecove {
 
-// The connections to one searcher. Attempts wait in order until a connection is
-// idle; connections are opened when attempts wait and the limit allows it.
+// The connections to one searcher. Attempts wait until a connection is idle;
+// connections are opened when attempts wait and the limit allows it. An attempt
+// whose reply would come too late is given back unsent.
 class SearcherConnections {
  public:
   SearcherConnections(boost::asio::io_context& context,
@@ -29,7 +30,7 @@
 
   void Send(AttemptId attempt,
             ForwardedRequestPtr request,
-            TimePoint deadline,
+            const AttemptTiming& timing,
             SearcherTransport::ReplyHandler done);
   bool Cancel(AttemptId attempt);
   bool IsWritten(AttemptId attempt) const;
@@ -46,7 +47,7 @@
   struct Attempt {
     AttemptId id;
     ForwardedRequestPtr request;
-    TimePoint deadline;
+    AttemptTiming timing;
     SearcherTransport::ReplyHandler done;
   };
   struct Connection {
@@ -64,6 +65,8 @@
   void OnIdle(Iterator it);
   void OnFinished(Iterator it, HttpExchange exchange);
   void Assign();
+  void ScheduleDrop();
+  void DropLate();
   void Write(Iterator it, Attempt attempt);
   void Close(Iterator it);
   void CloseIdleSince(TimePoint before);
@@ -80,7 +83,10 @@
   bool retired_ = false;
   int connecting_ = 0;
   std::list<Connection> connections_;
+  // In the order of their usefulness; of equal ones, of their arrival.
   std::deque<Attempt> waiting_;
+  // Set while attempts wait.
+  TimerId drop_timer_;
 };
 
 }  // namespace jujubecove
