Prefer searchers of the own zone and batch watches of the store

Each registration at start-up ended one watch of each daemon, and searchers of other zones were chosen for a gain of 1.5 ms.

A daemon now waits 250 ms after a change before it watches again, and leaves its zone only for a gain of a quarter of the route's target.

--- a/src/discovery/store_mirror.cc
+++ b/src/discovery/store_mirror.cc
@@ -13,6 +13,9 @@
 constexpr Duration kFirstBackoff = milliseconds(50);
 constexpr Duration kLongestBackoff = milliseconds(800);
 constexpr int kMaxDoublings = 4;
+// Changes come in bursts, such as when searchers start. Waiting this long after
+// some lets one call return those that follow; every call has its price.
+constexpr Duration kBatchDelay = milliseconds(250);
 
 const char* ReasonOf(KvStatus status) {
   return status == KvStatus::kRefused ? "refused by the store" : "no answer";
@@ -92,7 +95,10 @@
   for (const KvItem& it : page.items)
     Apply(it);
   position_ = std::max(position_, page.current);
-  Watch();
+  if (page.items.empty())
+    Watch();
+  else
+    timers_.ScheduleAfter(kBatchDelay, [this] { Watch(); });
 }
 
 void StoreMirror::Apply(const KvItem& item) {
--- a/src/dispatch/route_latency.h
+++ b/src/dispatch/route_latency.h
@@ -12,6 +12,7 @@
   void Observe(Duration latency);
   // The average latency; a guess from the route's target at first.
   Duration usual() const;
+  Duration target() const { return target_; }
   // How long an attempt may stay unanswered before another searcher is asked.
   Duration HedgeDelay(double quantile) const;
 
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -63,7 +63,7 @@
 bool ScatterRun::LaunchNext(std::size_t index) {
   Shard& shard = shards_[index];
   PooledSearcherPtr searcher = shard.pool->Select(
-      shard.tried, subject().latency->usual(), now(), context().random);
+      shard.tried, *subject().latency, now(), context().random);
   if (!searcher)
     return false;
   shard.tried.push_back(searcher);
--- a/src/dispatch/service_pool.cc
+++ b/src/dispatch/service_pool.cc
@@ -5,9 +5,10 @@
 namespace jujubecove {
 namespace {
 
-// Added to the expected latency of a searcher in another availability zone: the
-// round trip and the price of the bytes.
-constexpr Duration kOtherZonePenalty = std::chrono::microseconds(1500);
+// Bytes between availability zones are paid for. A searcher in another zone is
+// chosen only when it is expected to answer earlier by this part of the route's
+// target.
+constexpr int kOtherZonePartOfTarget = 4;
 // A suspect searcher is chosen only when no other is left.
 constexpr Duration kSuspectPenalty = std::chrono::seconds(30);
 // Random part of the score, so that daemons with equal knowledge do not all
@@ -36,7 +37,7 @@
 }
 
 PooledSearcherPtr ServicePool::Select(std::span<const PooledSearcherPtr> tried,
-                                      Duration usual,
+                                      const RouteLatency& latency,
                                       TimePoint now,
                                       RandomEngine& random) const {
   std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
@@ -45,9 +46,9 @@
   for (const PooledSearcherPtr& it : searchers_) {
     if (std::find(tried.begin(), tried.end(), it) != tried.end())
       continue;
-    Duration score = it->health.ExpectedLatency(usual, now);
+    Duration score = it->health.ExpectedLatency(latency.usual(), now);
     if (it->entry.zone != own_zone_)
-      score += kOtherZonePenalty;
+      score += latency.target() / kOtherZonePartOfTarget;
     score = Duration(static_cast<Duration::rep>(
         static_cast<double>(score.count()) * jitter(random)));
     if (it->health.IsSuspect(now))
--- a/src/dispatch/service_pool.h
+++ b/src/dispatch/service_pool.h
@@ -7,6 +7,7 @@
 
 #include "base/random.h"
 #include "dispatch/repeat_budget.h"
+#include "dispatch/route_latency.h"
 #include "dispatch/searcher_health.h"
 
 namespace jujubecove {
@@ -38,7 +39,7 @@
   // The searcher from which a reply is expected first, leaving out `tried`;
   // null when none is left.
   PooledSearcherPtr Select(std::span<const PooledSearcherPtr> tried,
-                           Duration usual,
+                           const RouteLatency& latency,
                            TimePoint now,
                            RandomEngine& random) const;
 
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -36,7 +36,7 @@
 }
 
 bool SingleRun::LaunchNext() {
-  PooledSearcherPtr searcher = pool_->Select(tried_, subject().latency->usual(),
+  PooledSearcherPtr searcher = pool_->Select(tried_, *subject().latency,
                                              now(), context().random);
   if (!searcher)
     return false;
