Log decisions, serve metrics and reload settings in place

Every answer is logged with what explains it: time, target, hedges, the searcher of the last part, the cause of each missing part. The metrics are served as Prometheus text. Settings are read again on SIGHUP and when the file changes.

--- a/src/discovery/store_mirror.cc
+++ b/src/discovery/store_mirror.cc
@@ -49,7 +49,7 @@
 
 void StoreMirror::OnPage(const std::string& after, KvPage page) {
   if (page.status != KvStatus::kOk) {
-    OnFailure(ReasonOf(page.status), &StoreMirror::List);
+    OnFailure(page.status, &StoreMirror::List);
     return;
   }
   OnSuccess();
@@ -83,12 +83,13 @@
 
 void StoreMirror::OnEvents(KvPage page) {
   if (page.status == KvStatus::kCompacted) {
+    ++calls_.compacted;
     OnSuccess();
     List();
     return;
   }
   if (page.status != KvStatus::kOk) {
-    OnFailure(ReasonOf(page.status), &StoreMirror::Watch);
+    OnFailure(page.status, &StoreMirror::Watch);
     return;
   }
   OnSuccess();
@@ -112,6 +113,7 @@
 }
 
 void StoreMirror::OnSuccess() {
+  ++calls_.served;
   TimePoint now = timers_.Now();
   if (was_lost_) {
     was_lost_ = false;
@@ -122,12 +124,15 @@
   last_success_ = now;
 }
 
-void StoreMirror::OnFailure(const std::string& reason,
-                            void (StoreMirror::*retry)()) {
+void StoreMirror::OnFailure(KvStatus status, void (StoreMirror::*retry)()) {
+  if (status == KvStatus::kRefused)
+    ++calls_.refused;
+  else
+    ++calls_.unanswered;
   if (connected_) {
     connected_ = false;
     was_lost_ = true;
-    listener_.OnStoreLost(reason);
+    listener_.OnStoreLost(ReasonOf(status));
   }
   Duration delay =
       std::min(kFirstBackoff * (1 << std::min(failures_, kMaxDoublings)),
--- a/src/discovery/store_mirror.h
+++ b/src/discovery/store_mirror.h
@@ -25,6 +25,14 @@
   virtual void OnStoreRegained(Duration outage) = 0;
 };
 
+// Counts of the calls of a mirror by their result.
+struct StoreCallStats {
+  std::uint64_t served = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unanswered = 0;
+  std::uint64_t compacted = 0;
+};
+
 // Keeps up with all keys under a prefix: lists them once, then watches for
 // changes from the revision of the listing on. It lists again only when the
 // store has dropped the history that it needs.
@@ -38,6 +46,7 @@
               std::uint64_t seed);
 
   void Start();
+  const StoreCallStats& calls() const { return calls_; }
   bool is_connected() const { return connected_; }
   // Whether a listing was ever completed.
   bool is_listed() const { return listed_; }
@@ -49,7 +58,7 @@
   void Watch();
   void OnEvents(KvPage page);
   void Apply(const KvItem& item);
-  void OnFailure(const std::string& reason, void (StoreMirror::*retry)());
+  void OnFailure(KvStatus status, void (StoreMirror::*retry)());
   void OnSuccess();
 
   TimerService& timers_;
@@ -63,6 +72,7 @@
   bool was_lost_ = false;
   int failures_ = 0;
   TimePoint last_success_{};
+  StoreCallStats calls_;
   // Where the watch goes on.
   StoreRevision position_{};
   // Revision of the first page of a listing under way.
--- a/src/dispatch/attempt_launcher.cc
+++ b/src/dispatch/attempt_launcher.cc
@@ -33,6 +33,7 @@
     return;
   Attempt attempt = std::move(it->second);
   attempts_.erase(it);
+  metrics_.CountAttempt(reply.outcome);
   TimePoint now = timers_.Now();
   attempt.searcher->health.OnReply(id, reply, attempt.latency->usual(), now);
   if (reply.outcome == AttemptResult::kSuccess)
@@ -66,6 +67,7 @@
   Attempt attempt = std::move(it->second);
   attempts_.erase(it);
   transport_.Cancel(id);
+  metrics_.CountCancelled();
   TimePoint now = timers_.Now();
   Duration age = now - attempt.sent;
   bool overdue =
--- a/src/dispatch/attempt_launcher.h
+++ b/src/dispatch/attempt_launcher.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "dispatch/dispatch_metrics.h"
 #include "dispatch/route_latency.h"
 #include "dispatch/service_pool.h"
 #include "kernel/timer_service.h"
@@ -17,8 +18,10 @@
  public:
   using ReplyHandler = std::function<void(AttemptReply)>;
 
-  AttemptLauncher(TimerService& timers, SearcherTransport& transport)
-      : timers_(timers), transport_(transport) {}
+  AttemptLauncher(TimerService& timers,
+                  SearcherTransport& transport,
+                  DispatchMetrics& metrics)
+      : timers_(timers), transport_(transport), metrics_(metrics) {}
 
   AttemptId Launch(const PooledSearcherPtr& searcher,
                    const ForwardedRequestPtr& request,
@@ -47,6 +50,7 @@
 
   TimerService& timers_;
   SearcherTransport& transport_;
+  DispatchMetrics& metrics_;
   std::uint64_t last_id_ = 0;
   std::unordered_map<AttemptId, Attempt> attempts_;
 };
--- /dev/null
+++ b/src/dispatch/dispatch_metrics.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "dispatch/forwarded_request.h"
+#include "dispatch/searcher_transport.h"
+#include "telemetry/metrics.h"
+
+namespace jujubecove {
+
+// How requests of a route are handled; the label of the metrics.
+enum class RequestKind : std::uint8_t { kScatter, kRepeatable, kOnce };
+inline constexpr int kRequestKindCount = 3;
+std::string_view NameOf(RequestKind kind);
+
+// Why a shard is missing from an answer.
+enum class MissingCause : std::uint8_t {
+  kNoSearcher,
+  kFailed,
+  kNotInTime,
+};
+inline constexpr int kMissingCauseCount = 3;
+std::string_view NameOf(MissingCause cause);
+
+inline constexpr int kAttemptResultCount =
+    static_cast<int>(AttemptResult::kBroken) + 1;
+std::string_view NameOf(AttemptResult result);
+
+// Counters and latencies of the decisions about requests.
+class DispatchMetrics {
+ public:
+  explicit DispatchMetrics(MetricsRegistry& registry);
+
+  void CountAnswer(RequestKind kind,
+                   const CallerAnswer& answer,
+                   Duration took,
+                   bool late);
+  void CountAbandoned(RequestKind kind) {
+    abandoned_[static_cast<std::size_t>(kind)]->Add();
+  }
+  void CountAttempt(AttemptResult result) {
+    attempts_[static_cast<std::size_t>(result)]->Add();
+  }
+  void CountCancelled() { cancelled_->Add(); }
+  void CountHedge() { hedges_->Add(); }
+  void CountRetry() { retries_->Add(); }
+  void CountBudgetDenied() { budget_denied_->Add(); }
+  void CountMissing(MissingCause cause) {
+    missing_[static_cast<std::size_t>(cause)]->Add();
+  }
+
+ private:
+  // Indexed by kind and error kind; the last error stands for none.
+  std::array<std::array<Counter*, kErrorKindCount + 1>, kRequestKindCount>
+      answers_{};
+  std::array<Counter*, kRequestKindCount> late_{};
+  std::array<Counter*, kRequestKindCount> partial_{};
+  std::array<Counter*, kRequestKindCount> abandoned_{};
+  std::array<Summary*, kRequestKindCount> latency_{};
+  std::array<Counter*, kAttemptResultCount> attempts_{};
+  std::array<Counter*, kMissingCauseCount> missing_{};
+  Counter* cancelled_;
+  Counter* hedges_;
+  Counter* retries_;
+  Counter* budget_denied_;
+};
+
+}  // namespace jujubecove
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -24,6 +24,7 @@
 Dispatcher::Dispatcher(TimerService& timers,
                        SearcherTransport& transport,
                        DecisionLog& log,
+                       MetricsRegistry& registry,
                        DispatchOptions options,
                        std::uint64_t seed)
     : timers_(timers),
@@ -32,8 +33,9 @@
       options_(std::move(options)),
       started_(timers.Now()),
       random_(seed),
-      launcher_(timers, transport),
-      context_{timers_, launcher_, random_, log_, options_} {}
+      metrics_(registry),
+      launcher_(timers, transport, metrics_),
+      context_{timers_, launcher_, random_, log_, metrics_, options_} {}
 
 std::shared_ptr<ServicePool> Dispatcher::PoolOf(const ServiceName& name) {
   std::shared_ptr<ServicePool>& pool = pools_[name];
@@ -132,6 +134,12 @@
   ApplyConnectionLimits();
 }
 
+void Dispatcher::SetOptions(const DispatchOptions& options) {
+  options_ = options;
+  for (const auto& [name, pool] : pools_)
+    pool->budget().set_options(options_.repeat_budget);
+}
+
 void Dispatcher::SetFleetSize(int size) {
   fleet_size_ = std::max(size, 1);
   for (const auto& [name, pool] : pools_)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -20,12 +20,14 @@
   Dispatcher(TimerService& timers,
              SearcherTransport& transport,
              DecisionLog& log,
+             MetricsRegistry& registry,
              DispatchOptions options,
              std::uint64_t seed);
 
   // Changes what the following requests see.
   void OnSearcher(SearcherChange change, const SearcherEntry& entry);
   void SetTable(RouteTablePtr table);
+  void SetOptions(const DispatchOptions& options);
   // Number of entry daemons that share limits and budgets, this one included.
   void SetFleetSize(int size);
 
@@ -35,6 +37,7 @@
 
   const RouteTablePtr& table() const { return table_; }
   std::size_t ready_searchers() const { return searchers_; }
+  int fleet_size() const { return fleet_size_; }
 
  private:
   std::shared_ptr<ServicePool> PoolOf(const ServiceName& name);
@@ -49,8 +52,10 @@
   SearcherTransport& transport_;
   DecisionLog& log_;
   DispatchOptions options_;
+  // Of the process; see FleetRepeatBudget.
   TimePoint started_;
   RandomEngine random_;
+  DispatchMetrics metrics_;
   AttemptLauncher launcher_;
   RunContext context_;
   RouteTablePtr table_;
--- a/src/dispatch/repeat_budget.h
+++ b/src/dispatch/repeat_budget.h
@@ -33,6 +33,7 @@
   // Gives back a repeat that never reached a searcher.
   void Return();
 
+  void set_options(const RepeatBudgetOptions& options) { options_ = options; }
   void set_fleet_size(int size) { fleet_size_ = size; }
   double available(TimePoint now);
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -29,6 +29,7 @@
     return;
   finished_ = true;
   context_.timers.Cancel(timer_);
+  metrics().CountAbandoned(kind());
   Log("caller_left", DecisionRank::kNotable)
       .Add("after_ms", now() - subject_.request->received);
   DetachAll(context_.options.abandoned_grace);
@@ -51,6 +52,7 @@
   context_.timers.Cancel(timer_);
   Duration took = now() - subject_.request->received;
   bool late = now() > target_time_;
+  metrics().CountAnswer(kind(), answer, took, late);
   bool usual = !answer.error && !late && answer.missing_parts == 0;
   DecisionLine line =
       Log("answered", usual ? DecisionRank::kRoutine : DecisionRank::kNotable);
@@ -59,6 +61,8 @@
     line.Add("error", NameOf(*answer.error)).Add("reason", answer.reason);
   else
     line.Add("status", answer.status);
+  line.Add("deadline_ms", deadline_ - subject_.request->received);
+  Describe(line);
   if (!answer.part_proofs.empty()) {
     line.Add("parts", answer.part_proofs.size())
         .Add("missing", answer.missing_parts);
@@ -96,6 +100,30 @@
       });
 }
 
+RequestKind RequestRun::kind() const {
+  if (route().scatter)
+    return RequestKind::kScatter;
+  return route().idempotent ? RequestKind::kRepeatable : RequestKind::kOnce;
+}
+
+bool RequestRun::TakeRetry(ServicePool& pool) {
+  bool taken = pool.budget().TryTakeRetry(now());
+  if (taken)
+    metrics().CountRetry();
+  else
+    metrics().CountBudgetDenied();
+  return taken;
+}
+
+bool RequestRun::TakeHedge(ServicePool& pool) {
+  bool taken = pool.budget().TryTakeHedge(now());
+  if (taken)
+    metrics().CountHedge();
+  else
+    metrics().CountBudgetDenied();
+  return taken;
+}
+
 DecisionLine RequestRun::Log(std::string_view event, DecisionRank rank) {
   DecisionLine line(context_.log, LogCategory::kGather, rank, event, now());
   line.Add("request", subject_.request->id)
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "dispatch/attempt_launcher.h"
+#include "dispatch/dispatch_metrics.h"
 #include "dispatch/dispatch_options.h"
 #include "route/route_table.h"
 #include "telemetry/decision_log.h"
@@ -17,6 +18,7 @@
   AttemptLauncher& launcher;
   RandomEngine& random;
   DecisionLog& log;
+  DispatchMetrics& metrics;
   const DispatchOptions& options;
 };
 
@@ -45,6 +47,8 @@
   // Ends attempts under way for which nobody waits any more.
   virtual void DetachAll(Duration grace) = 0;
   virtual void OnTimer() = 0;
+  // Adds what explains the time of the answer.
+  virtual void Describe(DecisionLine& line) const = 0;
 
   // Calls OnTimer at that time, instead of at a time set before.
   void WakeAt(TimePoint when);
@@ -65,8 +69,14 @@
                    TimePoint useful_until,
                    AttemptLauncher::ReplyHandler done);
   DecisionLine Log(std::string_view event, DecisionRank rank);
+  // Asks the service's budget for a retry or a hedge, and counts the answer.
+  bool TakeRetry(ServicePool& pool);
+  bool TakeHedge(ServicePool& pool);
+  DispatchMetrics& metrics() { return context_.metrics; }
 
  private:
+  RequestKind kind() const;
+
   RunContext& context_;
   RunSubject subject_;
   AnswerHandler done_;
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -110,6 +110,8 @@
 void ScatterRun::AcceptPart(Shard& shard, AttemptReply reply) {
   shard.answered = true;
   shard.part = std::move(reply);
+  last_part_searcher_ = shard.tried.back()->entry.id.value();
+  last_part_took_ = now() - subject().request->received;
   ++answered_;
   for (const AttemptId& it : shard.running)
     context().launcher.Detach(it, context().options.answered_grace);
@@ -121,7 +123,7 @@
   bool more = shard.sent < route().max_attempts && now() < deadline();
   // Nothing has arrived at the shard yet, so the next attempt is no repeat.
   bool is_first = shard.sent == 0;
-  if (more && (is_first || shard.pool->budget().TryTakeRetry(now()))) {
+  if (more && (is_first || TakeRetry(*shard.pool))) {
     if (LaunchNext(index))
       return;
     if (!is_first)
@@ -139,7 +141,7 @@
 void ScatterRun::Hedge(std::size_t index) {
   Shard& shard = shards_[index];
   shard.hedge_at = now() + kHedgeRecheck;
-  if (!shard.pool->budget().TryTakeHedge(now()))
+  if (!TakeHedge(*shard.pool))
     return;
   std::string slow = shard.tried.back()->entry.id.value();
   if (!LaunchNext(index)) {
@@ -147,6 +149,7 @@
     shard.hedge_at = TimePoint::max();
     return;
   }
+  ++hedges_;
   Log("hedged", DecisionRank::kRoutine)
       .Add("service", shard.pool->name().value())
       .Add("slow", slow)
@@ -213,10 +216,15 @@
   for (const Shard& it : shards_) {
     if (it.answered)
       continue;
+    MissingCause cause = it.tried.empty() ? MissingCause::kNoSearcher
+                         : it.lost        ? MissingCause::kFailed
+                                          : MissingCause::kNotInTime;
+    metrics().CountMissing(cause);
     Log("part_missing", DecisionRank::kNotable)
         .Add("service", it.pool->name().value())
         .Add("attempts", it.tried.size())
-        .Add("cause", it.lost ? it.last_failure : "no reply in time");
+        .Add("cause", NameOf(cause))
+        .Add("last_failure", it.last_failure);
   }
   Finish(std::move(answer));
 }
@@ -236,6 +244,12 @@
          text, false);
 }
 
+void ScatterRun::Describe(DecisionLine& line) const {
+  line.Add("hedges", hedges_)
+      .Add("last_part_searcher", last_part_searcher_)
+      .Add("last_part_ms", last_part_took_);
+}
+
 void ScatterRun::DetachAll(Duration grace) {
   for (Shard& shard : shards_) {
     for (const AttemptId& it : shard.running)
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -24,6 +24,7 @@
  protected:
   void DetachAll(Duration grace) override;
   void OnTimer() override;
+  void Describe(DecisionLine& line) const override;
 
  private:
   struct Shard {
@@ -58,6 +59,10 @@
   std::vector<Shard> shards_;
   std::size_t answered_ = 0;
   std::size_t lost_ = 0;
+  int hedges_ = 0;
+  // The part that came last, with the time that it took.
+  std::string last_part_searcher_;
+  Duration last_part_took_{};
   // Whether any attempt may have run.
   bool anything_sent_ = false;
 };
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -36,8 +36,8 @@
 }
 
 bool SingleRun::LaunchNext() {
-  PooledSearcherPtr searcher = pool_->Select(tried_, *subject().latency,
-                                             now(), context().random);
+  PooledSearcherPtr searcher =
+      pool_->Select(tried_, *subject().latency, now(), context().random);
   if (!searcher)
     return false;
   tried_.push_back(searcher);
@@ -85,7 +85,7 @@
     return false;
   // Nothing has arrived at the service yet, so the next attempt is no repeat.
   bool is_first = sent_ == 0;
-  if (!is_first && !pool_->budget().TryTakeRetry(now()))
+  if (!is_first && !TakeRetry(*pool_))
     return false;
   if (LaunchNext()) {
     ScheduleWake();
@@ -138,7 +138,7 @@
   }
   if (MayHedge() && now() >= hedge_at_) {
     hedge_at_ = now() + kHedgeRecheck;
-    if (pool_->budget().TryTakeHedge(now())) {
+    if (TakeHedge(*pool_)) {
       std::string slow = tried_.back()->entry.id.value();
       if (LaunchNext()) {
         Log("hedged", DecisionRank::kRoutine)
@@ -154,6 +154,12 @@
   ScheduleWake();
 }
 
+void SingleRun::Describe(DecisionLine& line) const {
+  line.Add("service", pool_->name().value()).Add("attempts", tried_.size());
+  if (!tried_.empty())
+    line.Add("searcher", tried_.back()->entry.id.value());
+}
+
 // An attempt that must not run twice is left to finish: its caller can't know
 // whether it ran, and interrupting it would waste the work.
 void SingleRun::DetachAll(Duration grace) {
--- a/src/dispatch/single_run.h
+++ b/src/dispatch/single_run.h
@@ -22,6 +22,7 @@
  protected:
   void DetachAll(Duration grace) override;
   void OnTimer() override;
+  void Describe(DecisionLine& line) const override;
 
  private:
   bool LaunchNext();
--- a/src/front/directory.cc
+++ b/src/front/directory.cc
@@ -87,6 +87,7 @@
       .Add("routes", config.value().routes.size());
   version_ = version;
   has_table_ = true;
+  table_since_ = now;
   callbacks_.table_changed(
       std::make_shared<const RouteTable>(std::move(config.value())));
 }
--- a/src/front/directory.h
+++ b/src/front/directory.h
@@ -42,6 +42,10 @@
   bool IsComplete() const { return has_table_ && mirror_.is_listed(); }
   bool IsStoreConnected() const { return mirror_.is_connected(); }
 
+  // When the configuration in force was applied.
+  TimePoint table_since() const { return table_since_; }
+  const StoreCallStats& store_calls() const { return mirror_.calls(); }
+
   void OnListingBegin() override;
   void OnListingEnd() override;
   void OnItem(const KvItem& item) override;
@@ -61,6 +65,7 @@
   StoreMirror mirror_;
   ConfigVersion version_;
   bool has_table_ = false;
+  TimePoint table_since_{};
 };
 
 }  // namespace jujubecove
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -24,8 +24,15 @@
 // the process ends by itself.
 constexpr Duration kRefuseBeforeKill = milliseconds(1500);
 constexpr Duration kExitBeforeKill = milliseconds(350);
+// A change of the settings file without a signal is seen within this time.
+constexpr Duration kSettingsInterval = std::chrono::seconds(2);
 constexpr int kStatusOk = 200;
 
+void SetLogLevels(LogLevel level) {
+  for (int n = 0; n < kLogCategoryCount; ++n)
+    SetLogLevel(static_cast<LogCategory>(n), level);
+}
+
 }  // namespace
 
 FrontDaemon::FrontDaemon(FrontConfig config, std::string path)
@@ -35,8 +42,14 @@
       sink_(STDOUT_FILENO, kLogBufferBytes),
       log_(sink_, config_.vm.value(), config_.log_lines_per_second),
       store_(context_, timers_, config_.store, config_.store_call_timeout),
+      metrics_(registry_),
       transport_(context_, timers_, searcher_protocol_),
-      dispatcher_(timers_, transport_, log_, config_.dispatch, SystemSeed()),
+      dispatcher_(timers_,
+                  transport_,
+                  log_,
+                  registry_,
+                  config_.dispatch,
+                  SystemSeed()),
       directory_(
           timers_,
           store_,
@@ -56,11 +69,11 @@
                  operations_,
                  operations_protocol_,
                  kOperationsConnections),
-      metrics_(context_,
-               timers_,
-               operations_,
-               operations_protocol_,
-               kOperationsConnections),
+      metrics_server_(context_,
+                      timers_,
+                      operations_,
+                      operations_protocol_,
+                      kOperationsConnections),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
 
 Directory::Callbacks FrontDaemon::DirectoryCallbacks() {
@@ -82,11 +95,12 @@
 }
 
 Result<void> FrontDaemon::Start() {
+  SetLogLevels(config_.log_level);
   Result<void> listening = callers_.Listen(config_.listen_callers);
   if (listening)
     listening = readiness_.Listen(config_.listen_readiness);
   if (listening && config_.listen_metrics.port != 0)
-    listening = metrics_.Listen(config_.listen_metrics);
+    listening = metrics_server_.Listen(config_.listen_metrics);
   if (!listening)
     return listening;
   DecisionLine(log_, LogCategory::kDaemon, DecisionRank::kState, "started",
@@ -97,6 +111,7 @@
   WaitForSignal();
   directory_.Start();
   FlushLog();
+  WatchSettings();
   return boost::outcome_v2::success();
 }
 
@@ -144,8 +159,11 @@
 CallerAnswer FrontDaemon::AnswerOperations(const std::string& path) {
   CallerAnswer answer;
   answer.status = kStatusOk;
-  if (path == "/metrics")
+  if (path == "/metrics") {
+    metrics_.Update(State(), timers_.Now());
+    answer.body = registry_.ToPrometheus();
     return answer;
+  }
   if (leaving_ || !directory_.IsComplete()) {
     answer.error = leaving_ ? ErrorKind::kShuttingDown : ErrorKind::kNotReady;
     answer.reason = leaving_ ? "stopping" : "no configuration is known yet";
@@ -155,6 +173,21 @@
   return answer;
 }
 
+FrontState FrontDaemon::State() const {
+  const RouteTablePtr& table = dispatcher_.table();
+  FrontState state;
+  state.config_version = table ? table->version().value() : 0;
+  state.config_since = directory_.table_since();
+  state.ready_searchers = dispatcher_.ready_searchers();
+  state.fleet_size = dispatcher_.fleet_size();
+  state.store_connected = directory_.IsStoreConnected();
+  state.caller_connections = callers_.connections();
+  state.log_lines_left_out = log_.left_out() + sink_.dropped();
+  state.egress = transport_.stats();
+  state.store_calls = directory_.store_calls();
+  return state;
+}
+
 void FrontDaemon::WaitForSignal() {
   signals_.async_wait([this](const boost::system::error_code& ec, int signal) {
     if (ec)
@@ -167,6 +200,19 @@
   });
 }
 
+void FrontDaemon::WatchSettings() {
+  std::error_code ec;
+  std::filesystem::file_time_type time =
+      std::filesystem::last_write_time(path_, ec);
+  bool first = settings_time_ == std::filesystem::file_time_type{};
+  if (!ec && time != settings_time_) {
+    settings_time_ = time;
+    if (!first)
+      Reload();
+  }
+  timers_.ScheduleAfter(kSettingsInterval, [this] { WatchSettings(); });
+}
+
 void FrontDaemon::Reload() {
   std::vector<SettingFault> faults;
   FrontConfig config = LoadFrontConfig(path_, faults);
@@ -178,6 +224,9 @@
     return;
   }
   config_.drain_grace = config.drain_grace;
+  dispatcher_.SetOptions(config.dispatch);
+  log_.set_lines_per_second(config.log_lines_per_second);
+  SetLogLevels(config.log_level);
 }
 
 // Requests are served until the balancer has taken this VM out; then idle
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -2,12 +2,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <filesystem>
 #include <memory>
 #include <string>
 
 #include "dispatch/dispatcher.h"
 #include "egress/http_searcher_transport.h"
 #include "front/directory.h"
+#include "front/front_metrics.h"
 #include "front/front_settings.h"
 #include "front/operations_host.h"
 #include "ingress/ingress_server.h"
@@ -42,12 +44,16 @@
   CallerAnswer AnswerOperations(const std::string& path);
   void WaitForSignal();
   void Reload();
+  // Reloads the settings when the file changes without a signal.
+  void WatchSettings();
   void BeginDrain();
   void ContinueDrain();
   void FlushLog();
+  FrontState State() const;
 
   FrontConfig config_;
   std::string path_;
+  std::filesystem::file_time_type settings_time_;
   boost::asio::io_context context_;
   AsioTimerService timers_;
   LineSink sink_;
@@ -56,6 +62,8 @@
   platform::PlatformSearcherProtocol searcher_protocol_;
   platform::PlatformRegistrationCodec codec_;
   platform::PlatformKvClient store_;
+  MetricsRegistry registry_;
+  FrontMetrics metrics_;
   HttpSearcherTransport transport_;
   Dispatcher dispatcher_;
   Directory directory_;
@@ -63,7 +71,7 @@
   OperationsHost operations_;
   IngressServer callers_;
   IngressServer readiness_;
-  IngressServer metrics_;
+  IngressServer metrics_server_;
   boost::asio::signal_set signals_;
   IngressLimits default_limits_;
   bool leaving_ = false;
--- /dev/null
+++ b/src/front/front_metrics.cc
@@ -0,0 +1,67 @@
+#include "front/front_metrics.h"
+
+namespace jujubecove {
+namespace {
+
+Gauge& StoreCalls(MetricsRegistry& registry, const std::string& result) {
+  return registry.AddGauge("jujubecove_store_calls",
+                           "Calls of the store since the start, by result.",
+                           {{"result", result}});
+}
+
+}  // namespace
+
+FrontMetrics::FrontMetrics(MetricsRegistry& registry)
+    : config_version_(registry.AddGauge("jujubecove_config_version",
+                                        "Version in force; 0 for none.")),
+      config_age_(registry.AddGauge("jujubecove_config_age_seconds",
+                                    "Time since the version came into force.")),
+      ready_searchers_(registry.AddGauge("jujubecove_searchers_ready",
+                                         "Searchers that get requests.")),
+      fleet_size_(registry.AddGauge("jujubecove_fleet_size",
+                                    "Entry daemons that share limits.")),
+      store_connected_(registry.AddGauge("jujubecove_store_connected",
+                                         "1 while the store answers.")),
+      caller_connections_(registry.AddGauge("jujubecove_caller_connections",
+                                            "Open connections of callers.")),
+      log_lines_left_out_(
+          registry.AddGauge("jujubecove_log_lines_left_out",
+                            "Log lines that were not written.")),
+      connections_opened_(
+          registry.AddGauge("jujubecove_searcher_connections_opened",
+                            "Connections opened to searchers.")),
+      connects_failed_(
+          registry.AddGauge("jujubecove_searcher_connects_failed",
+                            "Connections to searchers that failed to open.")),
+      requests_sent_(registry.AddGauge("jujubecove_searcher_requests_sent",
+                                       "Requests written to searchers.")),
+      exchanges_broken_(
+          registry.AddGauge("jujubecove_searcher_exchanges_broken",
+                            "Requests to searchers without a proper reply.")),
+      store_served_(StoreCalls(registry, "served")),
+      store_refused_(StoreCalls(registry, "refused")),
+      store_unanswered_(StoreCalls(registry, "unanswered")),
+      store_compacted_(StoreCalls(registry, "compacted")) {}
+
+void FrontMetrics::Update(const FrontState& state, TimePoint now) {
+  auto set = [](Gauge& gauge, auto value) {
+    gauge.Set(static_cast<double>(value));
+  };
+  set(config_version_, state.config_version);
+  set(config_age_, ToMilliseconds(now - state.config_since) / 1000.0);
+  set(ready_searchers_, state.ready_searchers);
+  set(fleet_size_, state.fleet_size);
+  set(store_connected_, state.store_connected ? 1 : 0);
+  set(caller_connections_, state.caller_connections);
+  set(log_lines_left_out_, state.log_lines_left_out);
+  set(connections_opened_, state.egress.connections_opened);
+  set(connects_failed_, state.egress.connects_failed);
+  set(requests_sent_, state.egress.requests_sent);
+  set(exchanges_broken_, state.egress.exchanges_broken);
+  set(store_served_, state.store_calls.served);
+  set(store_refused_, state.store_calls.refused);
+  set(store_unanswered_, state.store_calls.unanswered);
+  set(store_compacted_, state.store_calls.compacted);
+}
+
+}  // namespace jujubecove
--- /dev/null
+++ b/src/front/front_metrics.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+
+#include "discovery/store_mirror.h"
+#include "egress/egress_stats.h"
+#include "telemetry/metrics.h"
+
+namespace jujubecove {
+
+// What the process knows and holds at one moment.
+struct FrontState {
+  std::uint64_t config_version = 0;
+  TimePoint config_since{};
+  std::size_t ready_searchers = 0;
+  int fleet_size = 0;
+  bool store_connected = false;
+  std::size_t caller_connections = 0;
+  std::uint64_t log_lines_left_out = 0;
+  EgressStats egress;
+  StoreCallStats store_calls;
+};
+
+// Gauges of the state of the process, brought up to date when they are read.
+class FrontMetrics {
+ public:
+  explicit FrontMetrics(MetricsRegistry& registry);
+  void Update(const FrontState& state, TimePoint now);
+
+ private:
+  Gauge& config_version_;
+  Gauge& config_age_;
+  Gauge& ready_searchers_;
+  Gauge& fleet_size_;
+  Gauge& store_connected_;
+  Gauge& caller_connections_;
+  Gauge& log_lines_left_out_;
+  Gauge& connections_opened_;
+  Gauge& connects_failed_;
+  Gauge& requests_sent_;
+  Gauge& exchanges_broken_;
+  Gauge& store_served_;
+  Gauge& store_refused_;
+  Gauge& store_unanswered_;
+  Gauge& store_compacted_;
+};
+
+}  // namespace jujubecove
--- a/src/telemetry/decision_log.h
+++ b/src/telemetry/decision_log.h
@@ -36,6 +36,7 @@
   // Whether a line of this rank may be written now.
   bool Admit(LogCategory category, DecisionRank rank, TimePoint now);
   void Write(std::string_view line) { sink_.Append(line); }
+  void set_lines_per_second(int lines) { lines_per_second_ = lines; }
   const std::string& vm() const { return vm_; }
   std::uint64_t left_out() const { return left_out_; }
 
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -23,7 +23,7 @@
   DispatchFixture()
       : sink_(-1, 1U << 20U),
         log_(sink_, "vm", 1000),
-        dispatcher_(timers_, transport_, log_, Options(), 1) {}
+        dispatcher_(timers_, transport_, log_, registry_, Options(), 1) {}
 
   static DispatchOptions Options() {
     DispatchOptions options;
@@ -113,6 +113,7 @@
   FakeSearcherTransport transport_;
   LineSink sink_;
   DecisionLog log_;
+  MetricsRegistry registry_;
   Dispatcher dispatcher_;
   std::optional<CallerAnswer> answer_;
   int submitted_ = 0;
