--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -7,6 +7,7 @@
 #include "ctl/change_commands.h"
 #include "ctl/console_command.h"
 #include "ctl/document_commands.h"
+#include "ctl/platform_commands.h"
 #include "ctl/query_commands.h"
 
 namespace jujubecove {
@@ -35,6 +36,8 @@
   commands.push_back(std::make_unique<ConsoleCommand>());
   commands.push_back(std::make_unique<QueryCommand>());
   commands.push_back(std::make_unique<StatusCommand>());
+  commands.push_back(std::make_unique<InForceCommand>());
+  commands.push_back(std::make_unique<TraceCommand>());
   return commands;
 }
 
--- a/src/front/main.cc
+++ b/src/front/main.cc
@@ -1,7 +1,35 @@
+#include <gflags/gflags.h>
+
 #include <cstdlib>
+#include <iostream>
+
+#include "front/front_settings.h"
 #include "front/run_front.h"
 
-int main() {
+DEFINE_string(config,
+              "",
+              "INI file with the settings; without it, the file that the "
+              "environment variable JUJUBECOVE_CONFIG names");
+DEFINE_string(check_settings,
+              "",
+              "report every fault of this settings file, and exit");
+DEFINE_bool(describe, false, "print every setting with its default, and exit");
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("the entry daemon of jujubecove on the platform");
+  gflags::SetVersionString("0.2.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_describe) {
+    std::cout << jujubecove::DescribeSchema(jujubecove::FrontSchema());
+    return 0;
+  }
+  if (!FLAGS_check_settings.empty())
+    return jujubecove::RunFront(FLAGS_check_settings, true);
   const char* path = std::getenv("JUJUBECOVE_CONFIG");
-  return jujubecove::RunFront(path == nullptr ? "front.ini" : path, false);
+  if (FLAGS_config.empty() && path == nullptr) {
+    std::cerr << "jujubecove-front: no settings file is given\n";
+    return 2;
+  }
+  return jujubecove::RunFront(FLAGS_config.empty() ? path : FLAGS_config,
+                              false);
 }
--- /dev/null
+++ b/tests/standin/scripted_server.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "settings/socket_address.h"
+
+namespace jujubecove {
+
+// A TCP server on the loopback address whose replies a test writes byte by
+// byte.
+class ScriptedServer {
+ public:
+  struct Reaction {
+    std::string bytes;
+    bool close = false;
+    // Closes with a reset instead of an orderly end.
+    bool reset = false;
+  };
+  // Called with the bytes of each request head that arrived on a connection.
+  using Script = std::function<Reaction(const std::string& head)>;
+
+  ScriptedServer(boost::asio::io_context& context, Script script);
+  ~ScriptedServer();
+
+  SocketAddress address() const;
+  int accepted() const { return accepted_; }
+  // Writes to all open connections.
+  void Push(const std::string& bytes);
+  void CloseAll();
+
+ private:
+  struct Connection {
+    explicit Connection(boost::asio::io_context& context) : socket(context) {}
+    boost::asio::ip::tcp::socket socket;
+    std::string received;
+    std::array<char, 4096> buf{};
+  };
+
+  void Accept();
+  void Read(const std::shared_ptr<Connection>& connection);
+  void React(const std::shared_ptr<Connection>& connection);
+
+  boost::asio::io_context& context_;
+  Script script_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<Connection>> connections_;
+  int accepted_ = 0;
+};
+
+}  // namespace jujubecove
--- /dev/null
+++ b/tests/unit/platform/kv_client_test.cc
@@ -0,0 +1,144 @@
+#include "platform/kv_client.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "kernel/asio_timer_service.h"
+#include "platform/json_codec.h"
+#include "tests/standin/scripted_server.h"
+
+namespace jujubecove::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string Json(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class KvClientTest : public testing::Test {
+ protected:
+  KvClientTest() : timers_(context_) {}
+
+  void Serve(ScriptedServer::Script script) {
+    server_.emplace(context_, [this, script](const std::string& head) {
+      heads_.push_back(head);
+      return script(head);
+    });
+    client_.emplace(context_, timers_, server_->address(), milliseconds(200));
+  }
+  void RunUntil(const bool& done) {
+    TimePoint limit = timers_.Now() + seconds(5);
+    while (!done && timers_.Now() < limit)
+      context_.run_one_for(milliseconds(10));
+    EXPECT_TRUE(done);
+  }
+  KvPage Range() {
+    KvPage result;
+    bool done = false;
+    client_->Range("servers/", "servers/a b", [&](KvPage page) {
+      result = std::move(page);
+      done = true;
+    });
+    RunUntil(done);
+    return result;
+  }
+
+  boost::asio::io_context context_;
+  AsioTimerService timers_;
+  std::optional<ScriptedServer> server_;
+  std::optional<PlatformKvClient> client_;
+  std::vector<std::string> heads_;
+};
+
+TEST_F(KvClientTest, ReadsAPage) {
+  Serve([](const std::string&) {
+    return ScriptedServer::Reaction{
+        Json(200, R"({"items":[{"Key":"servers/x","Value":"aGk=","Revision":4,)"
+                  R"("Created":2,"Lease":0}],"HasMore":true,"CurrentRev":9})")};
+  });
+  KvPage page = Range();
+  ASSERT_EQ(page.status, KvStatus::kOk);
+  ASSERT_EQ(page.items.size(), 1U);
+  EXPECT_EQ(page.items[0].value, "hi");
+  EXPECT_EQ(page.items[0].revision, StoreRevision(4));
+  EXPECT_TRUE(page.has_more);
+  EXPECT_EQ(page.current, StoreRevision(9));
+  EXPECT_TRUE(heads_[0].starts_with(
+      "GET /v1/kv-range?Prefix=servers/&after=servers/a%20b HTTP/1.1"));
+}
+
+TEST_F(KvClientTest, ReadsRemovals) {
+  Serve([](const std::string&) {
+    return ScriptedServer::Reaction{
+        Json(200, R"({"events":[{"Key":"k","Revision":5,"Removed":true}],)"
+                  R"("CurrentRev":5})")};
+  });
+  KvPage result;
+  bool done = false;
+  client_->Watch("", StoreRevision(3), milliseconds(100), [&](KvPage page) {
+    result = std::move(page);
+    done = true;
+  });
+  RunUntil(done);
+  ASSERT_EQ(result.items.size(), 1U);
+  EXPECT_TRUE(result.items[0].removed);
+}
+
+struct StatusCase {
+  const char* name;
+  std::string bytes;
+  bool close;
+  KvStatus status;
+};
+
+class KvStatusTest : public KvClientTest,
+                     public testing::WithParamInterface<StatusCase> {};
+
+// Guards against a failure of the store that is taken for an empty answer.
+TEST_P(KvStatusTest, IsTold) {
+  Serve([](const std::string&) {
+    return ScriptedServer::Reaction{GetParam().bytes, GetParam().close};
+  });
+  EXPECT_EQ(Range().status, GetParam().status);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statuses,
+    KvStatusTest,
+    testing::Values(
+        StatusCase{"Unavailable", Json(503, "{}"), false, KvStatus::kRefused},
+        StatusCase{"TooMany", Json(429, "{}"), false, KvStatus::kRefused},
+        StatusCase{"Compacted", Json(410, "{}"), false, KvStatus::kCompacted},
+        StatusCase{"Silent", "", false, KvStatus::kUnknown},
+        StatusCase{"Closed", "", true, KvStatus::kUnknown},
+        StatusCase{"Malformed", Json(200, "{"), false, KvStatus::kUnknown},
+        StatusCase{"NoItems", Json(200, "{}"), false, KvStatus::kUnknown}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a connection that went silent being used again.
+TEST_F(KvClientTest, AfterASilentCallANewConnectionIsUsed) {
+  int calls = 0;
+  Serve([&calls](const std::string&) {
+    ++calls;
+    return ScriptedServer::Reaction{
+        calls == 1 ? "" : Json(200, R"({"items":[],"CurrentRev":1})")};
+  });
+  EXPECT_EQ(Range().status, KvStatus::kUnknown);
+  EXPECT_EQ(Range().status, KvStatus::kOk);
+  EXPECT_EQ(server_->accepted(), 2);
+}
+
+TEST(JsonCodecTest, Base64RoundTrip) {
+  for (const std::string& text : {"", "a", "ab", "abc", "abcd", "\x01\xff"})
+    EXPECT_EQ(DecodeBase64(EncodeBase64(text)), text);
+  EXPECT_FALSE(DecodeBase64("abc"));
+  EXPECT_FALSE(DecodeBase64("a!=="));
+}
+
+}  // namespace
+}  // namespace jujubecove::platform
