Remove the control plane that the platform makes needless

The platform keeps, validates and orders the configuration, lists searchers and holds what must last. Removed: staging, activation, relays and acknowledgements of documents (config), the daemons' own protocol (peer, Thrift) with its spread of documents, members and shares (membership, share_exchange, connection_shares), ticket forwarding, the second client of the store with its VM list, and apply, revert, history and the console's way of writing. The own interface takes its document from a file (SIGHUP loads it again), and its searchers and the size of the fleet from the store, through the same directory as the platform's path. A ticket of another daemon gets "outcome unknown", as it did when its owner was unreachable.

Tests of removed code went with it: config, peer, membership, store, peer_forwarder, share_exchange, connection_shares, the console's apply. What they promised is checked by discovery (mirror, registry, fleet size), platform (store client), front (end to end), dispatch (shares) and daemon (reload of the document, a damaged one refused).

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 BUILD_DIR=${BUILD_DIR:-build}
 JOBS=${JOBS:-$(nproc)}
-PACKAGES=(g++ cmake ninja-build ccache pkg-config curl libboost1.81-dev libthrift-dev thrift-compiler libgflags-dev
+PACKAGES=(g++ cmake ninja-build ccache pkg-config curl libboost1.81-dev libgflags-dev
   libeasyloggingpp-dev libgtest-dev libgmock-dev libbenchmark-dev libssl-dev libxxhash-dev librapidcheck-dev
   clang-format clang-tidy valgrind)
 
--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -34,7 +34,7 @@
     {ErrorKind::kDeadlineExceeded, "deadline_exceeded", 504,
      Execution::kUnknown},
     {ErrorKind::kOutcomeUnknown, "outcome_unknown", 502, Execution::kUnknown},
-    {ErrorKind::kShardsUnavailable, "shards_unavailable", 502,
+    {ErrorKind::kShardsUnavailable, "shards_unavailable", 504,
      Execution::kUnknown},
     {ErrorKind::kInternal, "internal", 500, Execution::kUnknown},
 }};
--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -4,7 +4,6 @@
 #include <iomanip>
 #include <sstream>
 
-#include "ctl/change_commands.h"
 #include "ctl/console_command.h"
 #include "ctl/document_commands.h"
 #include "ctl/platform_commands.h"
@@ -30,9 +29,6 @@
   commands.push_back(std::make_unique<CheckCommand>());
   commands.push_back(std::make_unique<DiffCommand>());
   commands.push_back(std::make_unique<ExplainCommand>());
-  commands.push_back(std::make_unique<ApplyCommand>());
-  commands.push_back(std::make_unique<RevertCommand>());
-  commands.push_back(std::make_unique<HistoryCommand>());
   commands.push_back(std::make_unique<ConsoleCommand>());
   commands.push_back(std::make_unique<QueryCommand>());
   commands.push_back(std::make_unique<StatusCommand>());
--- a/src/ctl/console_command.cc
+++ b/src/ctl/console_command.cc
@@ -10,10 +10,8 @@
 #include <memory>
 #include <utility>
 
-#include "ctl/change_commands.h"
 #include "ctl/console_listener.h"
 #include "ctl/console_server.h"
-#include "ctl/store_session.h"
 
 namespace jujubecove {
 namespace {
@@ -21,40 +19,6 @@
 namespace asio = boost::asio;
 
 constexpr std::uint16_t kDefaultPort = 7480;
-class PlatformBackend : public ConsoleBackend {
- public:
-  explicit PlatformBackend(std::string address)
-      : address_(std::move(address)) {}
-
-  Result<InForceDocument> ReadInForce() override {
-    Result<std::unique_ptr<StoreSession>> session =
-        StoreSession::Open(address_);
-    if (!session)
-      return session.error();
-    Result<std::optional<ActiveRecord>> active = session.value()->ReadActive();
-    if (!active)
-      return active.error();
-    if (!active.value())
-      return InForceDocument();
-    ConfigVersion version = active.value()->active.version;
-    Result<std::string> text = session.value()->ReadDocument(version);
-    if (!text)
-      return text.error();
-    return InForceDocument{version, std::move(text.value())};
-  }
-
-  Result<ApplyReport> Apply(ApplyRequest request) override {
-    Result<std::unique_ptr<StoreSession>> session =
-        StoreSession::Open(address_);
-    if (!session)
-      return session.error();
-    return ApplyDocument(*session.value(), std::move(request));
-  }
-
- private:
-  std::string address_;
-};
-
 ExitCode RunServer(std::optional<std::string> text,
                    std::uint16_t port,
                    const CommandContext& context) {
@@ -70,8 +34,7 @@
   port = listener.endpoint().port();
   std::string url =
       "http://127.0.0.1:" + std::to_string(port) + "/?secret=" + secrets->visit;
-  PlatformBackend backend(context.platform);
-  ConsoleHandler handler(backend, std::move(text), port, std::move(*secrets));
+  ConsoleHandler handler(std::move(text), port, std::move(*secrets));
   asio::signal_set signals(io, SIGINT, SIGTERM);
   signals.async_wait(
       [&io](const boost::system::error_code&, int) { io.stop(); });
@@ -90,7 +53,8 @@
 std::string ConsoleCommand::help() const {
   return "Listens on 127.0.0.1 only and prints the URL to open. The form "
          "starts "
-         "from FILE, else from the document in force. PORT is 7480 by default; "
+         "from FILE, else empty, and gives the checked document to download. "
+         "PORT is 7480 by default; "
          "0 takes any free one. Ends on SIGINT or SIGTERM.";
 }
 
--- a/src/ctl/console_page.cc
+++ b/src/ctl/console_page.cc
@@ -231,20 +231,8 @@
   if (!rows.empty())
     html += "<ul>\n" + rows + "</ul>\n";
   html += "<form method=\"post\" action=\"/submit\">\n" +
-          Hidden("token", page.token) + Hidden("base", page.base) +
-          Hidden("document", page.document) +
+          Hidden("token", page.token) + Hidden("document", page.document) +
           Button("download", "Download the document");
-  if (page.base.empty())
-    html +=
-        "<p>Nothing can be applied: the platform did not answer when the "
-        "form was loaded.</p>\n";
-  else
-    html +=
-        "<p><input type=\"checkbox\" id=\"incomplete\" name=\"incomplete\" "
-        "value=\"yes\"><label for=\"incomplete\">Activate although "
-        "daemons don't hold the document, as for the first one</label>"
-        "</p>\n" +
-        Button("apply", "Apply to all zones");
   return html + "</form></section>\n";
 }
 
@@ -283,7 +271,7 @@
   html += RenderFaults(page) + RenderReview(page);
   // The first button is the one that the Enter key presses.
   html += "<form method=\"post\" action=\"/edit\">\n" +
-          Hidden("token", page.token) + Hidden("base", page.base) +
+          Hidden("token", page.token) +
           Button("review", "Check and show the difference") +
           Button("add-kind", "Add a kind") +
           Button("add-service", "Add a service");
@@ -304,7 +292,6 @@
          "main{max-width:60rem;margin:0 auto;padding:1rem}"
          "fieldset{margin:1rem 0;border:1px solid #555}"
          "legend{font-weight:bold}label{display:block;font-weight:bold}"
-         "#incomplete+label{display:inline;font-weight:normal}"
          "input,select,button{font:inherit;padding:.25rem .5rem}"
          "a:focus,input:focus,select:focus,button:focus{outline:3px solid "
          "#0b57d0;outline-offset:2px}"
--- a/src/ctl/console_page.h
+++ b/src/ctl/console_page.h
@@ -15,13 +15,10 @@
   std::vector<FormFault> faults;
   // Proves to the server that a request comes from this page.
   std::string token;
-  // The version that the form was loaded from; empty when none is known, in
-  // which case nothing can be applied.
-  std::string base;
-  // What the differences are relative to, such as "version 3, in force".
+  // What the differences are relative to, such as "the file".
   std::string compared_with;
   std::vector<DocumentChange> changes;
-  // The canonical document, to download or apply; empty if there are faults.
+  // The canonical document, to download; empty if there are faults.
   std::string document;
   // Says what happened or what to look out for; may be empty.
   std::string notice;
--- a/src/ctl/console_server.cc
+++ b/src/ctl/console_server.cc
@@ -8,7 +8,6 @@
 #include <sstream>
 #include <utility>
 
-#include "ctl/change_commands.h"
 #include "document/document_parser.h"
 
 namespace jujubecove {
@@ -63,27 +62,13 @@
   return Respond(status, "text/html", RenderMessage("Refused", why));
 }
 
-std::string HeadlineOf(const ApplyReport& report) {
-  if (report.outcome == ApplyOutcome::kUnknown)
-    return "It is not known whether the document is in force";
-  if (report.outcome == ApplyOutcome::kInForce) {
-    if (report.superseded)
-      return "In force, and superseded since";
-    return report.everywhere ? "In force everywhere"
-                             : "In force, but not confirmed everywhere";
-  }
-  return report.conflict ? "Conflict: another change came first; in force "
-                           "nowhere"
-                         : "In force nowhere";
-}
-
-std::optional<ConfigVersion> ParseVersion(const std::string& text) {
-  std::uint64_t value = 0;
+std::optional<std::size_t> ParseIndex(const std::string& text) {
+  std::size_t value = 0;
   const char* last = text.data() + text.size();
   auto [end, error] = std::from_chars(text.data(), last, value);
   if (error != std::errc() || end != last)
     return std::nullopt;
-  return ConfigVersion(value);
+  return value;
 }
 
 // Adds or removes a section as the pressed button says.
@@ -95,10 +80,9 @@
     form.insert(form.begin(), FormSection{"service", "", {}});
   if (!action.starts_with(kRemove))
     return;
-  std::optional<ConfigVersion> index =
-      ParseVersion(action.substr(kRemove.size()));
-  if (index && index->value() < form.size())
-    form.erase(form.begin() + static_cast<std::ptrdiff_t>(index->value()));
+  std::optional<std::size_t> index = ParseIndex(action.substr(kRemove.size()));
+  if (index && *index < form.size())
+    form.erase(form.begin() + static_cast<std::ptrdiff_t>(*index));
 }
 
 }  // namespace
@@ -112,12 +96,10 @@
   return Secrets{*visit, *cookie, *token};
 }
 
-ConsoleHandler::ConsoleHandler(ConsoleBackend& backend,
-                               std::optional<std::string> file_text,
+ConsoleHandler::ConsoleHandler(std::optional<std::string> file_text,
                                std::uint16_t port,
                                Secrets secrets)
-    : backend_(backend),
-      file_text_(std::move(file_text)),
+    : file_text_(std::move(file_text)),
       port_(port),
       secrets_(std::move(secrets)) {}
 
@@ -194,26 +176,12 @@
 }
 
 void ConsoleHandler::Compare(ConsolePage& page) {
-  Result<InForceDocument> current = backend_.ReadInForce();
+  ParsedDocument file = ParseDocument(file_text_.value_or(""), "file");
   std::string old_text;
-  if (current) {
-    old_text = current.value().text;
-    std::string version = std::to_string(current.value().version.value());
-    page.compared_with = old_text.empty()
-                             ? "an empty document; none is in force"
-                             : "version " + version + ", in force";
-    if (!page.base.empty() && page.base != version)
-      page.notice = "The form was loaded from version " + page.base +
-                    ", but version " + version +
-                    " is in force; applying will be refused.";
-  } else {
-    page.compared_with = "the file; the platform did not answer";
-    page.notice = current.error().detail;
-    ParsedDocument file = ParseDocument(file_text_.value_or(""), "file");
-    if (file.ok())
-      old_text = CanonicalText(file.document);
-    else
-      page.compared_with = "an empty document; the platform did not answer";
+  page.compared_with = "an empty document";
+  if (file_text_ && file.ok()) {
+    old_text = CanonicalText(file.document);
+    page.compared_with = "the file";
   }
   page.changes = DiffTexts(old_text, page.document);
 }
@@ -221,13 +189,7 @@
 ConsoleResponse ConsoleHandler::Load() {
   ConsolePage page;
   page.token = secrets_.token;
-  Result<InForceDocument> current = backend_.ReadInForce();
-  if (current)
-    page.base = std::to_string(current.value().version.value());
-  else
-    page.notice = current.error().detail;
-  std::string text =
-      file_text_ ? *file_text_ : (current ? current.value().text : "");
+  std::string text = file_text_.value_or("");
   std::vector<SettingFault> faults;
   page.form = FormOfText(text, faults);
   FormCheck check = CheckForm(page.form);
@@ -245,7 +207,6 @@
 ConsoleResponse ConsoleHandler::Edit(const FormFields& fields) {
   ConsolePage page;
   page.token = secrets_.token;
-  page.base = FieldOf(fields, "base");
   page.form = FormOfFields(fields);
   std::string action = FieldOf(fields, "do");
   Change(page.form, action);
@@ -271,10 +232,7 @@
   if (!parsed.ok())
     return Refuse(http::status::bad_request, parsed.faults[0].ToString());
   std::string text = CanonicalText(parsed.document);
-  std::string action = FieldOf(fields, "do");
-  if (action == "apply")
-    return Apply(fields, text);
-  if (action != "download")
+  if (FieldOf(fields, "do") != "download")
     return Refuse(http::status::bad_request, "There is no such action.");
   ConsoleResponse response =
       Respond(http::status::ok, "text/plain", std::move(text));
@@ -283,23 +241,4 @@
   return response;
 }
 
-ConsoleResponse ConsoleHandler::Apply(const FormFields& fields,
-                                      const std::string& text) {
-  ApplyRequest request;
-  request.text = text;
-  request.expected_base = ParseVersion(FieldOf(fields, "base"));
-  if (!request.expected_base)
-    return Refuse(http::status::bad_request,
-                  "The version that the form was loaded from is not known; "
-                  "nothing was changed.");
-  request.incomplete = FieldOf(fields, "incomplete") == "yes";
-  Result<ApplyReport> report = backend_.Apply(std::move(request));
-  if (!report)
-    return Page(RenderMessage("In force nowhere: nothing was changed",
-                              report.error().detail));
-  std::ostringstream out;
-  PrintReport(report.value(), out);
-  return Page(RenderMessage(HeadlineOf(report.value()), out.str()));
-}
-
 }  // namespace jujubecove
--- a/src/ctl/console_server.h
+++ b/src/ctl/console_server.h
@@ -8,27 +8,11 @@
 
 #include "base/ids.h"
 #include "base/result.h"
-#include "config/activator.h"
 #include "ctl/console_form.h"
 #include "ctl/console_page.h"
 
 namespace jujubecove {
 
-// The document in force. Without any, the version is 0 and the text empty.
-struct InForceDocument {
-  ConfigVersion version;
-  std::string text;
-};
-
-// What the console needs of the platform; replaced in tests.
-class ConsoleBackend {
- public:
-  virtual ~ConsoleBackend() = default;
-
-  virtual Result<InForceDocument> ReadInForce() = 0;
-  virtual Result<ApplyReport> Apply(ApplyRequest request) = 0;
-};
-
 using ConsoleRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
 using ConsoleResponse =
@@ -47,8 +31,7 @@
   static std::optional<Secrets> MakeSecrets();
 
   // `file_text` is the document that the form starts from, if there is a file.
-  ConsoleHandler(ConsoleBackend& backend,
-                 std::optional<std::string> file_text,
+  ConsoleHandler(std::optional<std::string> file_text,
                  std::uint16_t port,
                  Secrets secrets);
 
@@ -61,12 +44,10 @@
   ConsoleResponse Load();
   ConsoleResponse Edit(const FormFields& fields);
   ConsoleResponse Submit(const FormFields& fields);
-  ConsoleResponse Apply(const FormFields& fields, const std::string& text);
   ConsoleResponse Post(const ConsoleRequest& request);
-  // Adds the difference from the document in force, else from the file.
+  // Adds the difference from the file.
   void Compare(ConsolePage& page);
 
-  ConsoleBackend& backend_;
   std::optional<std::string> file_text_;
   std::uint16_t port_;
   Secrets secrets_;
--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -23,8 +23,7 @@
               "by commas");
 DEFINE_string(document,
               "",
-              "load the operators' document from this file instead of the "
-              "platform's store, for development and experiments");
+              "file with the operators' document; SIGHUP loads it again");
 DEFINE_bool(check, false, "validate the settings and the document, and exit");
 DEFINE_bool(describe, false, "print every setting with its default, and exit");
 
@@ -76,14 +75,25 @@
   }
   ParsedDocument parsed = ParseDocument(*text, FLAGS_document);
   faults.insert(faults.end(), parsed.faults.begin(), parsed.faults.end());
-  parsed.document.version = ConfigVersion(1);
+  static std::uint64_t last_version = 0;
+  parsed.document.version = ConfigVersion(++last_version);
   return std::make_shared<const Document>(std::move(parsed.document));
 }
 
+Result<std::shared_ptr<const Document>> ReloadDocument() {
+  std::vector<SettingFault> faults;
+  std::shared_ptr<const Document> document = LoadDocument(faults);
+  if (!faults.empty())
+    return Error{ErrorKind::kBadRequest, faults.front().ToString()};
+  return document;
+}
+
 int Serve(const DaemonConfig& config,
           std::shared_ptr<const Document> document) {
   Daemon daemon(config, kVersion);
-  Result<void> started = daemon.Start(std::move(document));
+  Result<void> started = daemon.Start(
+      std::move(document),
+      FLAGS_document.empty() ? Daemon::DocumentLoader() : ReloadDocument);
   if (!started) {
     std::cerr << "jujubecoved: " << started.error().detail << "\n";
     return kExitStartFailed;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -23,11 +23,10 @@
 constexpr char kBridge[] = "frontend.bridge";
 constexpr char kFrontend[] = "frontend";
 constexpr char kUpstream[] = "upstream";
-constexpr char kForwarder[] = "peer.forwarder";
+constexpr char kForwarder[] = "tickets.forwarder";
 constexpr char kQuery[] = "query";
 constexpr char kControl[] = "control";
 
-constexpr std::size_t kForwardedRequests = 4'096;
 constexpr std::size_t kStateMessages = 64;
 constexpr Duration kFinishCheckInterval = std::chrono::milliseconds(10);
 
@@ -48,13 +47,15 @@
       version_(std::move(version)),
       incarnation_(SystemSeed()),
       main_timers_(main_context_),
-      signals_(main_context_, SIGTERM, SIGINT) {}
+      signals_(main_context_, SIGTERM, SIGINT, SIGHUP) {}
 
 Daemon::~Daemon() {
   StopThreads();
 }
 
-Result<void> Daemon::Start(std::shared_ptr<const Document> document) {
+Result<void> Daemon::Start(std::shared_ptr<const Document> document,
+                           DocumentLoader loader) {
+  loader_ = std::move(loader);
   SetLogFormat(config_.log_format);
   for (int n = 0; n < kLogCategoryCount; ++n)
     SetLogLevel(static_cast<LogCategory>(n), config_.log_levels[n]);
@@ -66,9 +67,8 @@
     PublishSides();
     Connect(std::move(document));
   } catch (const boost::system::system_error& error) {
-    return Error{ErrorKind::kInternal, "can't listen on " +
-                                           config_.listen_peers.ToString() +
-                                           ": " + error.what()};
+    return Error{ErrorKind::kInternal,
+                 std::string("can't start: ") + error.what()};
   }
   Result<void> listening = Listen();
   if (!listening)
@@ -108,8 +108,8 @@
                     std::make_shared<UpstreamSide>(
                         upstream_threads, query_.context(), incarnation_,
                         SystemSeed(), config_.outstanding_attempts, metrics_));
-  registry_.Publish(kForwarder, std::make_shared<PeerForwarder>(
-                                    query_, control_, kForwardedRequests));
+  registry_.Publish<TicketForwarder>(kForwarder,
+                                     std::make_shared<UnreachableOwners>());
 }
 
 void Daemon::PublishSides() {
@@ -117,19 +117,19 @@
   options.seed = SystemSeed();
   options.unix_epoch_offset = EpochOffset();
   options.baseline = config_.baseline;
-  options.tickets.peer_address = config_.listen_peers.ToString();
+  options.tickets.peer_address = config_.listen_callers.ToString();
   options.tickets.incarnation = incarnation_;
   options.tickets.secret = DrawTicketSecret();
-  PeerForwarder& forwarder = registry_.Find<PeerForwarder>(kForwarder);
+  TicketForwarder& forwarder = registry_.Find<TicketForwarder>(kForwarder);
   registry_.Publish(
       kQuery,
       std::make_shared<QuerySide>(
           query_.timers(), registry_.Find<UpstreamSide>(kUpstream).transport(),
           forwarder, metrics_, options));
-  registry_.Publish(kControl,
-                    std::make_shared<ControlSide>(
-                        control_, query_, registry_.Find<QuerySide>(kQuery),
-                        forwarder, config_, incarnation_, metrics_));
+  registry_.Publish(
+      kControl, std::make_shared<ControlSide>(control_, query_,
+                                              registry_.Find<QuerySide>(kQuery),
+                                              config_, metrics_));
 }
 
 void Daemon::Connect(std::shared_ptr<const Document> document) {
@@ -191,14 +191,34 @@
 }
 
 void Daemon::AwaitSignal() {
-  signals_.async_wait([this](const boost::system::error_code& ec, int) {
+  signals_.async_wait([this](const boost::system::error_code& ec, int signal) {
     if (ec)
       return;
-    OnSignal();
+    if (signal == SIGHUP)
+      Reload();
+    else
+      OnSignal();
     AwaitSignal();
   });
 }
 
+void Daemon::Reload() {
+  if (!loader_) {
+    JJ_LOG(kDaemon, INFO) << "SIGHUP: there is no document file to reload";
+    return;
+  }
+  Result<std::shared_ptr<const Document>> document = loader_();
+  if (!document) {
+    JJ_LOG(kDaemon, ERROR) << "the document stays as it is: "
+                           << document.error().detail;
+    return;
+  }
+  ControlSide& control = registry_.Find<ControlSide>(kControl);
+  boost::asio::post(control_.context(), [&control, document] {
+    control.SetDocument(document.value());
+  });
+}
+
 void Daemon::OnSignal() {
   switch (phase_) {
     case Phase::kServing:
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -11,8 +12,8 @@
 #include "daemon/control_side.h"
 #include "daemon/daemon_settings.h"
 #include "daemon/duty_thread.h"
-#include "daemon/peer_forwarder.h"
 #include "daemon/query_side.h"
+#include "daemon/unreachable_owners.h"
 #include "daemon/upstream_side.h"
 #include "document/document.h"
 #include "frontend/frontend.h"
@@ -28,12 +29,17 @@
 // The entry daemon: wires the services of all threads and shuts them down.
 class Daemon {
  public:
+  // Reads the operators' document again; fails with the first fault.
+  using DocumentLoader =
+      std::function<Result<std::shared_ptr<const Document>>()>;
+
   Daemon(const DaemonConfig& config, std::string version);
   ~Daemon();
 
-  // Builds and starts everything. A null document is awaited from peers or the
-  // store.
-  Result<void> Start(std::shared_ptr<const Document> document);
+  // Builds and starts everything. Without a document it is not ready. With a
+  // loader, SIGHUP puts the document that it returns in force.
+  Result<void> Start(std::shared_ptr<const Document> document,
+                     DocumentLoader loader = nullptr);
   // Serves until a signal has led to a shutdown; returns the exit code.
   int Run();
 
@@ -54,6 +60,7 @@
   void StartThreads();
   void AwaitSignal();
   void OnSignal();
+  void Reload();
   void BeginGrace();
   void StopAccepting();
   void CheckFinished();
@@ -64,6 +71,7 @@
 
   DaemonConfig config_;
   std::string version_;
+  DocumentLoader loader_;
   IncarnationId incarnation_;
 
   // The main thread's own, for signals and the shutdown.
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -62,24 +62,12 @@
      .default_value = SocketAddress{kLoopback, 0},
      .doc = "Address for health, metrics and status alone, which answers even "
             "when callers use up all connections. Port 0 turns it off."});
-const Setting<SocketAddress> kPeers(
-    {.section = "listen",
-     .key = "peers",
-     .default_value = SocketAddress{kLoopback, 8082},
-     .doc = "Address for other entry daemons, as the platform lists it."});
 
 const Setting<SocketAddress> kPlatform(
     {.section = "platform",
      .key = "address",
      .default_value = SocketAddress{kLoopback, 7400},
-     .doc = "Address of the platform's service."});
-const Setting<Duration> kPlatformPoll(
-    {.section = "platform",
-     .key = "poll_ms",
-     .default_value = seconds(1),
-     .unit = "ms",
-     .accepted = {.min = milliseconds(100), .max = minutes(1)},
-     .doc = "Interval at which the VM list is fetched."});
+     .doc = "Address of the platform's store."});
 
 const Setting<std::uint32_t> kHeaderBytes(
     {.section = "frontend",
@@ -282,8 +270,8 @@
        false,
        {&kVmId, &kZone, &kShutdownGrace, &kShutdownLimit},
        "This process."},
-      {"listen", false, {&kCallers, &kOperations, &kPeers}, "Addresses."},
-      {"platform", false, {&kPlatform, &kPlatformPoll}, "The platform."},
+      {"listen", false, {&kCallers, &kOperations}, "Addresses."},
+      {"platform", false, {&kPlatform}, "The platform."},
       {"frontend",
        false,
        {&kHeaderBytes, &kBodyBytes, &kFirstByte, &kHeaderTime, &kBodyTime,
@@ -310,9 +298,7 @@
   config.zone = ZoneName(settings.Get(kZone));
   config.listen_callers = settings.Get(kCallers);
   config.listen_operations = settings.Get(kOperations);
-  config.listen_peers = settings.Get(kPeers);
   config.platform = settings.Get(kPlatform);
-  config.platform_poll = settings.Get(kPlatformPoll);
   config.frontend = MakeFrontendLimits(settings);
   config.shutdown_grace = settings.Get(kShutdownGrace);
   config.shutdown_limit = settings.Get(kShutdownLimit);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -20,9 +20,7 @@
   SocketAddress listen_callers;
   // Port 0 turns the separate operations address off.
   SocketAddress listen_operations;
-  SocketAddress listen_peers;
   SocketAddress platform;
-  Duration platform_poll{};
   FrontendLimits frontend;
   Duration shutdown_grace{};
   Duration shutdown_limit{};
--- a/src/front/directory.cc
+++ b/src/discovery/directory.cc
@@ -1,4 +1,4 @@
-#include "front/directory.h"
+#include "discovery/directory.h"
 
 #include <utility>
 
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -6,9 +6,9 @@
 #include <memory>
 #include <string>
 
+#include "discovery/directory.h"
 #include "dispatch/dispatcher.h"
 #include "egress/http_searcher_transport.h"
-#include "front/directory.h"
 #include "front/front_metrics.h"
 #include "front/front_settings.h"
 #include "front/operations_host.h"
--- a/src/platform/registration_codec.cc
+++ b/src/platform/registration_codec.cc
@@ -130,10 +130,10 @@
       if (!it.is_object())
         continue;
       const json::object& fields = it.get_object();
-      config.services.push_back(
-          ServiceSpec{ServiceName(StringField(fields, "Name").value_or("")),
-                      static_cast<int>(
-                          IntegerField(fields, "MaxConnections").value_or(1))});
+      config.services.push_back(RoutedService{
+          ServiceName(StringField(fields, "Name").value_or("")),
+          static_cast<int>(
+              IntegerField(fields, "MaxConnections").value_or(1))});
     }
   }
   const json::value* limits = object->if_contains("Limits");
--- a/tests/standin/admin_server.h
+++ b/tests/standin/admin_server.h
@@ -22,6 +22,8 @@
               std::uint16_t port,
               Handler handler);
 
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
  private:
   void Accept();
 
--- /dev/null
+++ b/tests/standin/kv_server.cc
@@ -0,0 +1,169 @@
+#include "tests/standin/kv_server.h"
+
+#include <boost/json.hpp>
+#include <cstdlib>
+#include <utility>
+
+#include "platform/json_codec.h"
+#include "platform/wire_names.h"
+
+namespace jujubecove {
+namespace {
+
+namespace json = boost::json;
+using platform::EncodeBase64;
+
+int HttpStatusOf(KvStatus status) {
+  switch (status) {
+    case KvStatus::kOk:
+      return 200;
+    case KvStatus::kConflict:
+      return 412;
+    case KvStatus::kNotFound:
+      return 404;
+    case KvStatus::kCompacted:
+      return 410;
+    case KvStatus::kRefused:
+    case KvStatus::kUnknown:
+      break;
+  }
+  return 503;
+}
+
+// The value of a parameter of the query, or an empty text.
+std::string Parameter(const std::string& target, const std::string& name) {
+  std::size_t begin = target.find('?');
+  while (begin != std::string::npos) {
+    std::size_t end = target.find('&', begin + 1);
+    std::string part = target.substr(begin + 1, end - begin - 1);
+    if (part.starts_with(name + "="))
+      return part.substr(name.size() + 1);
+    begin = end;
+  }
+  return "";
+}
+
+json::object ItemOf(const KvItem& item) {
+  if (item.removed) {
+    return json::object{{"Key", item.key},
+                        {"Revision", item.revision.value()},
+                        {"Removed", true}};
+  }
+  return json::object{{"Key", item.key},
+                      {"Value", EncodeBase64(item.value)},
+                      {"Revision", item.revision.value()}};
+}
+
+std::function<void(KvPage)> PageResponder(
+    const char* list,
+    const standin::AdminServer::Respond& respond) {
+  return [list, respond](const KvPage& page) {
+    json::array items;
+    for (const KvItem& it : page.items)
+      items.push_back(ItemOf(it));
+    json::object body{{list, std::move(items)},
+                      {"HasMore", page.has_more},
+                      {"CurrentRev", page.current.value()}};
+    respond(static_cast<unsigned>(HttpStatusOf(page.status)),
+            json::serialize(body));
+  };
+}
+
+}  // namespace
+
+KvServer::KvServer(boost::asio::io_context& context, std::uint16_t port)
+    : timers_(context),
+      store_(timers_),
+      server_(context,
+              port,
+              [this](const std::string& method,
+                     const std::string& target,
+                     const std::string& body,
+                     const Respond& respond) {
+                Handle(method, target, body, respond);
+              }) {}
+
+void KvServer::Handle(const std::string& method,
+                      const std::string& target,
+                      const std::string& body,
+                      const Respond& respond) {
+  if (method == "GET") {
+    HandleRead(target, respond);
+    return;
+  }
+  json::object object = platform::ParseObject(body).value_or(json::object());
+  if (target == "/v1/kv-txn") {
+    HandleWrite(object, respond);
+  } else if (target == "/v1/kv-lease") {
+    store_.GrantLease(Duration(0), [respond](const KvLease& lease) {
+      respond(static_cast<unsigned>(HttpStatusOf(lease.status)),
+              json::serialize(json::object{{"Lease", lease.lease.value()}}));
+    });
+  } else {
+    respond(200, "{}");
+  }
+}
+
+void KvServer::HandleRead(const std::string& target, const Respond& respond) {
+  std::string prefix = Parameter(target, "Prefix");
+  std::string after = Parameter(target, "after");
+  if (target.starts_with("/v1/kv-range")) {
+    store_.Range(prefix, after, PageResponder("items", respond));
+  } else if (target.starts_with("/v1/kv-watch")) {
+    std::int64_t wait = std::atoll(Parameter(target, "WaitMs").c_str());
+    store_.Watch(prefix, StoreRevision(std::atoll(after.c_str())),
+                 std::chrono::milliseconds(wait),
+                 PageResponder("events", respond));
+  } else {
+    respond(404, "{}");
+  }
+}
+
+void KvServer::HandleWrite(const json::object& body, const Respond& respond) {
+  auto done = [respond](const KvWrite& write) {
+    respond(
+        static_cast<unsigned>(HttpStatusOf(write.status)),
+        json::serialize(json::object{{"Revision", write.revision.value()}}));
+  };
+  if (const json::value* writes = body.if_contains("Writes")) {
+    const json::object& write = writes->as_array().at(0).as_object();
+    std::string key = platform::StringField(write, "Key").value_or("");
+    std::string text = platform::StringField(write, "Value").value_or("");
+    store_.Put(key, platform::DecodeBase64(text).value_or(""),
+               StoreLease(platform::IntegerField(write, "Lease").value_or(0)),
+               done);
+  } else if (const json::value* deletes = body.if_contains("Deletes")) {
+    store_.Delete(std::string(deletes->as_array().at(0).as_string()), done);
+  } else {
+    respond(400, "{}");
+  }
+}
+
+bool KvServer::SetSearchers(std::string_view list) {
+  std::optional<json::object> object = platform::ParseObject(list);
+  const json::value* vms = object ? object->if_contains("vms") : nullptr;
+  if (vms == nullptr || !vms->is_array())
+    return false;
+  ++heartbeat_;
+  for (const json::value& it : vms->get_array()) {
+    if (!it.is_object())
+      return false;
+    const json::object& vm = it.get_object();
+    const json::value* leaving = vm.if_contains("leaving");
+    bool drains =
+        leaving != nullptr && leaving->is_bool() && leaving->get_bool();
+    json::object entry{
+        {"Service", platform::StringField(vm, "service").value_or("")},
+        {"Address", platform::StringField(vm, "address").value_or("")},
+        {"Zone", platform::StringField(vm, "zone").value_or("")},
+        {"Slots", 1},
+        {"State", drains ? "draining" : "ready"},
+        {"Sequence", heartbeat_}};
+    store_.Set(std::string(platform::kSearcherPrefix) +
+                   platform::StringField(vm, "id").value_or(""),
+               json::serialize(entry));
+  }
+  return true;
+}
+
+}  // namespace jujubecove
