Watch the store less often in a large fleet

Ruled out: renewals (one each 180 s). The delay after a change now grows with the fleet from 300 ms to 1 s, and a watch waits for what the bound on a silent connection leaves, taken from the platform's settings.

--- a/src/discovery/directory.cc
+++ b/src/discovery/directory.cc
@@ -32,7 +32,10 @@
              codec,
              options.vm,
              options.zone,
-             callbacks_.fleet_size_changed),
+             [this](int size) {
+               mirror_.set_fleet_size(size);
+               callbacks_.fleet_size_changed(size);
+             }),
       mirror_(timers, store, *this, "", options.watch_wait, options.seed) {}
 
 void Directory::Start() {
--- a/src/discovery/store_mirror.cc
+++ b/src/discovery/store_mirror.cc
@@ -13,9 +13,13 @@
 constexpr Duration kFirstBackoff = milliseconds(50);
 constexpr Duration kLongestBackoff = milliseconds(800);
 constexpr int kMaxDoublings = 4;
-// Changes come in bursts, such as when searchers start. Waiting this long after
-// some lets one call return those that follow; every call has its price.
-constexpr Duration kBatchDelay = milliseconds(250);
+// Changes come in bursts, such as when searchers start. Waiting after some lets
+// one call return those that follow; every call has its price. The delay grows
+// with the fleet, since each daemon makes the same calls, up to a part of the
+// seconds in which a change has to be in force.
+constexpr Duration kLeastBatchDelay = milliseconds(300);
+constexpr Duration kBatchDelayPerDaemon = milliseconds(30);
+constexpr Duration kLongestBatchDelay = milliseconds(1000);
 
 const char* ReasonOf(KvStatus status) {
   return status == KvStatus::kRefused ? "refused by the store" : "no answer";
@@ -99,7 +103,12 @@
   if (page.items.empty())
     Watch();
   else
-    timers_.ScheduleAfter(kBatchDelay, [this] { Watch(); });
+    timers_.ScheduleAfter(BatchDelay(), [this] { Watch(); });
+}
+
+Duration StoreMirror::BatchDelay() const {
+  return std::clamp(kBatchDelayPerDaemon * fleet_size_, kLeastBatchDelay,
+                    kLongestBatchDelay);
 }
 
 void StoreMirror::Apply(const KvItem& item) {
--- a/src/discovery/store_mirror.h
+++ b/src/discovery/store_mirror.h
@@ -46,6 +46,8 @@
               std::uint64_t seed);
 
   void Start();
+  // Number of daemons that watch the store as this one does.
+  void set_fleet_size(int size) { fleet_size_ = size; }
   const StoreCallStats& calls() const { return calls_; }
   bool is_connected() const { return connected_; }
   // Whether a listing was ever completed.
@@ -56,6 +58,7 @@
   void OnPage(const std::string& after, KvPage page);
   void EndListing();
   void Watch();
+  Duration BatchDelay() const;
   void OnEvents(KvPage page);
   void Apply(const KvItem& item);
   void OnFailure(KvStatus status, void (StoreMirror::*retry)());
@@ -70,6 +73,7 @@
   bool connected_ = false;
   bool listed_ = false;
   bool was_lost_ = false;
+  int fleet_size_ = 1;
   int failures_ = 0;
   TimePoint last_success_{};
   StoreCallStats calls_;
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -54,15 +54,14 @@
      .doc = "A call without an answer after this time is repeated on another "
             "connection. The store answers in single milliseconds; up to half "
             "a second when it is slow."});
-const Setting<Duration> kStoreWatchWait(
+const Setting<Duration> kStoreSilence(
     {.section = "store",
-     .key = "watch_wait_ms",
-     .default_value = milliseconds(2500),
+     .key = "silence_ms",
+     .default_value = milliseconds(4000),
      .unit = "ms",
-     .accepted = {.min = milliseconds(100), .max = seconds(30)},
-     .doc = "Longest wait of one watch. Together with the call timeout it "
-            "bounds how long a silent connection to the store goes "
-            "unnoticed."});
+     .accepted = {.min = milliseconds(1500), .max = seconds(30)},
+     .doc = "A connection to the store that went silent is noticed within this "
+            "time. One watch waits for what the call timeout leaves of it."});
 
 const Setting<double> kRepeatRatio(
     {.section = "repeats",
@@ -128,6 +127,9 @@
                                                 {"off", LogLevel::kOff}},
                                    .doc = "Least level that is written."});
 
+// Late timers and the way of the reply.
+constexpr Duration kWatchMargin = milliseconds(200);
+constexpr Duration kLeastWatchWait = milliseconds(200);
 // Connections to searchers, the store and files take the other half.
 constexpr std::int64_t kCallersShareOfDescriptors = 2;
 
@@ -142,7 +144,7 @@
        .settings = {&kCallers, &kReadiness, &kMetrics},
        .doc = "Addresses of this process."},
       {.type = "store",
-       .settings = {&kStore, &kStoreCallTimeout, &kStoreWatchWait},
+       .settings = {&kStore, &kStoreCallTimeout, &kStoreSilence},
        .doc = "The platform's store."},
       {.type = "repeats",
        .settings = {&kRepeatRatio, &kRepeatSlack, &kRepeatWindow},
@@ -165,7 +167,9 @@
   config.listen_metrics = settings.Get(kMetrics);
   config.store = settings.Get(kStore);
   config.store_call_timeout = settings.Get(kStoreCallTimeout);
-  config.store_watch_wait = settings.Get(kStoreWatchWait);
+  config.store_watch_wait = std::max(
+      settings.Get(kStoreSilence) - config.store_call_timeout - kWatchMargin,
+      kLeastWatchWait);
   config.drain_grace = seconds(settings.Get(kDrainGrace));
   config.max_connections = static_cast<std::size_t>(settings.Get(kDescriptors) /
                                                     kCallersShareOfDescriptors);
--- a/tests/unit/front/front_settings_test.cc
+++ b/tests/unit/front/front_settings_test.cc
@@ -7,6 +7,8 @@
 namespace jujubecove {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr char kValid[] =
     "[vm]\nid = front-1\nzone = nyeri\nmax_descriptors = 8200\n"
     "[listen]\ncallers = 10.1.0.1:80\nreadiness = 10.1.0.1:81\n"
@@ -29,6 +31,8 @@
   EXPECT_EQ(config.dispatch.repeat_budget.slack, 58.0);
   EXPECT_EQ(config.drain_grace, Duration(std::chrono::seconds(6)));
   EXPECT_EQ(config.max_connections, 4100U);
+  // A silent connection is noticed within 4 s: the wait and one call timeout.
+  EXPECT_EQ(config.store_watch_wait, Duration(milliseconds(2800)));
 }
 
 // Guards against a start or a reload with half a file.
@@ -69,6 +73,7 @@
         {"{{Bounds.RetryBudgetRatio}}", "0.2"},
         {"{{Bounds.RetryBudgetSlack}}", "58"},
         {"{{Bounds.BudgetWindowS}}", "10"},
+        {"{{Bounds.ContactMs}}", "4000"},
         {"{{Bounds.GraceS}}", "6"}}) {
     std::size_t at = text.find(name);
     ASSERT_NE(at, std::string::npos) << name;
