--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -15,8 +15,9 @@
 // Requests of the whole fleet at a searcher for each of its slots. More would
 // only wait there, where they can't be reordered or given up.
 constexpr int kRequestsPerSlot = 2;
-// A daemon may have this many requests at a searcher in any case, so that it
-// can use free slots while the others are idle.
+// A daemon of a small fleet may have this many requests at a searcher in any
+// case, so that it can use free slots while the others are idle. In a large
+// one, the queue of the searcher would not hold them.
 constexpr int kLeastRequests = 2;
 
 }  // namespace
@@ -108,7 +109,9 @@
     return;
   int share = spec->max_connections / (fleet_size_ + kSpareDaemons);
   int wanted = (entry.slots * kRequestsPerSlot + fleet_size_ - 1) / fleet_size_;
-  int limit = std::min(share, std::max(wanted, kLeastRequests));
+  bool small = fleet_size_ <= kLeastRequests * entry.slots * kRequestsPerSlot;
+  int limit =
+      std::min(share, small ? std::max(wanted, kLeastRequests) : wanted);
   transport_.SetConnectionLimit(entry, std::max(limit, 1));
 }
 
--- a/tests/unit/dispatch/single_run_test.cc
+++ b/tests/unit/dispatch/single_run_test.cc
@@ -165,9 +165,19 @@
   AddSearchers("single", 1);
   dispatcher_.SetFleetSize(4);
   EXPECT_LE(transport_.limit("single.0") * 4, 26);
+  EXPECT_EQ(transport_.limit("single.0"), 2);
   dispatcher_.SetFleetSize(35);
   EXPECT_EQ(transport_.limit("single.0"), 1);
 }
 
+// Guards against a large fleet whose daemons together overfill the queue of a
+// searcher that has connections to spare.
+TEST_F(SingleRunTest, ALargeFleetSendsOneRequestAtATime) {
+  Configure(1, 1.0);
+  AddSearchers("single", 1);
+  dispatcher_.SetFleetSize(10);
+  EXPECT_EQ(transport_.limit("single.0"), 1);
+}
+
 }  // namespace
 }  // namespace jujubecove
