--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -10,7 +10,7 @@
 
 // Every way in which the tier can refuse or fail a request. The list is closed:
 // a new kind needs a row in the table of error_kind.cc, in docs/interfaces.md
-// and in docs/operating.md.
+// and in docs/OPERATIONS.md.
 enum class ErrorKind : std::uint8_t {
   kBadRequest,
   kUnknownKind,
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -8,7 +8,7 @@
 
 namespace jujubecove {
 
-// Exit codes of jujubecovectl; docs/operating.md explains them.
+// Exit codes of jujubecovectl; docs/OPERATIONS.md explains them.
 enum class ExitCode : int {
   kOk = 0,
   // The document, the request or the change was refused.
--- a/src/daemon/control_side.cc
+++ b/src/daemon/control_side.cc
@@ -25,6 +25,9 @@
 constexpr Duration kStoreWatchWait = milliseconds(2500);
 // Daemons that may join before the others have learned of them.
 constexpr std::size_t kSpareDaemons = 1;
+// Others learn of a joining daemon, and close connections above their smaller
+// share, within this time. Until then it has one connection to each searcher.
+constexpr Duration kJoinTime = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -98,6 +101,10 @@
 }
 
 void ControlSide::OnFleetSize(int size) {
+  if (!joined_at_) {
+    joined_at_ = thread_.timers().Now() + kJoinTime;
+    thread_.timers().ScheduleAt(*joined_at_, [this] { Push(); });
+  }
   fleet_size_ = static_cast<std::size_t>(std::max(size, 1));
   fleet_due_ = true;
   Push();
@@ -138,6 +145,7 @@
 // requests on them have ended.
 void ControlSide::ApplyShares() {
   std::map<SearcherId, std::size_t> shares;
+  bool joining = !joined_at_ || thread_.timers().Now() < *joined_at_;
   for (const auto& [id, it] : searchers_) {
     if (!document_ || it.leaving)
       continue;
@@ -146,7 +154,7 @@
       continue;
     std::size_t share =
         service->second.connections / (fleet_size_ + kSpareDaemons);
-    shares[it.searcher] = std::max<std::size_t>(share, 1);
+    shares[it.searcher] = joining ? 1 : std::max<std::size_t>(share, 1);
   }
   for (const auto& [searcher, share] : given_shares_) {
     if (!shares.contains(searcher))
--- a/src/daemon/control_side.h
+++ b/src/daemon/control_side.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "daemon/daemon_settings.h"
@@ -60,6 +61,8 @@
   std::map<InstanceId, SearcherVm> searchers_;
   std::map<SearcherId, std::size_t> given_shares_;
   std::size_t fleet_size_ = 1;
+  // When this daemon may use its full share; nothing before the fleet is known.
+  std::optional<TimePoint> joined_at_;
   bool push_scheduled_ = false;
   bool searchers_due_ = false;
   bool document_due_ = false;
--- a/src/daemon/exit_code.h
+++ b/src/daemon/exit_code.h
@@ -2,7 +2,7 @@
 
 namespace jujubecove {
 
-// Exit codes of jujubecoved; docs/operating.md explains them.
+// Exit codes of jujubecoved; docs/OPERATIONS.md explains them.
 enum DaemonExitCode : int {
   kExitOk = 0,
   // The process could not start: an address in use, an unreadable file.
--- a/src/dispatch/attempt_launcher.cc
+++ b/src/dispatch/attempt_launcher.cc
@@ -39,7 +39,7 @@
   if (reply.outcome == AttemptResult::kSuccess)
     attempt.latency->Observe(now - attempt.sent);
   if (attempt.done)
-    attempt.done(std::move(reply));
+    attempt.done(id, std::move(reply));
 }
 
 void AttemptLauncher::Detach(AttemptId id, Duration grace) {
--- a/src/dispatch/attempt_launcher.h
+++ b/src/dispatch/attempt_launcher.h
@@ -16,7 +16,7 @@
 // route, also after the request that it was sent for has been answered.
 class AttemptLauncher {
  public:
-  using ReplyHandler = std::function<void(AttemptReply)>;
+  using ReplyHandler = std::function<void(AttemptId, AttemptReply)>;
 
   AttemptLauncher(TimerService& timers,
                   SearcherTransport& transport,
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -12,6 +12,18 @@
 
 }  // namespace
 
+PooledSearcherPtr TakeRunning(std::vector<RunningAttempt>& running,
+                              AttemptId id) {
+  auto it =
+      std::find_if(running.begin(), running.end(),
+                   [id](const RunningAttempt& it) { return it.id == id; });
+  if (it == running.end())
+    return nullptr;
+  PooledSearcherPtr searcher = it->searcher;
+  running.erase(it);
+  return searcher;
+}
+
 RequestRun::RequestRun(RunContext& context,
                        RunSubject subject,
                        AnswerHandler done)
@@ -86,18 +98,19 @@
   Finish(std::move(answer));
 }
 
-AttemptId RequestRun::Launch(const PooledSearcherPtr& searcher,
-                             TimePoint useful_until,
-                             AttemptLauncher::ReplyHandler done) {
+RunningAttempt RequestRun::Launch(const PooledSearcherPtr& searcher,
+                                  TimePoint useful_until,
+                                  AttemptHandler done) {
   std::shared_ptr<RequestRun> self = shared_from_this();
   AttemptTiming timing{deadline_, std::min(useful_until, deadline_),
                        subject_.latency->usual()};
-  return context_.launcher.Launch(
+  AttemptId id = context_.launcher.Launch(
       searcher, subject_.request, subject_.latency, timing,
-      [self, done = std::move(done)](AttemptReply reply) {
+      [self, done = std::move(done)](AttemptId id, AttemptReply reply) {
         if (!self->finished_)
-          done(std::move(reply));
+          done(id, std::move(reply));
       });
+  return RunningAttempt{id, searcher};
 }
 
 RequestKind RequestRun::kind() const {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "dispatch/attempt_launcher.h"
 #include "dispatch/dispatch_metrics.h"
@@ -22,6 +23,16 @@
   const DispatchOptions& options;
 };
 
+// An attempt of a run that has not ended.
+struct RunningAttempt {
+  AttemptId id;
+  PooledSearcherPtr searcher;
+};
+
+// Removes the attempt from those under way and gives its searcher.
+PooledSearcherPtr TakeRunning(std::vector<RunningAttempt>& running,
+                              AttemptId id);
+
 // What one run is about.
 struct RunSubject {
   ForwardedRequestPtr request;
@@ -64,10 +75,11 @@
   const Route& route() const { return *subject_.route; }
   const RunSubject& subject() const { return subject_; }
   RunContext& context() { return context_; }
+  using AttemptHandler = std::function<void(AttemptId, AttemptReply)>;
   // The reply is of use until then.
-  AttemptId Launch(const PooledSearcherPtr& searcher,
-                   TimePoint useful_until,
-                   AttemptLauncher::ReplyHandler done);
+  RunningAttempt Launch(const PooledSearcherPtr& searcher,
+                        TimePoint useful_until,
+                        AttemptHandler done);
   DecisionLine Log(std::string_view event, DecisionRank rank);
   // Asks the service's budget for a retry or a hedge, and counts the answer.
   bool TakeRetry(ServicePool& pool);
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -70,11 +70,11 @@
   ++shard.sent;
   shard.hedge_at =
       now() + subject().latency->HedgeDelay(context().options.hedge_quantile);
-  auto id = std::make_shared<AttemptId>();
-  *id = Launch(searcher, UsefulUntil(), [this, index, id](AttemptReply reply) {
-    OnReply(index, *id, std::move(reply));
-  });
-  shard.running.push_back(*id);
+  shard.running.push_back(
+      Launch(searcher, UsefulUntil(),
+             [this, index](AttemptId attempt, AttemptReply reply) {
+               OnReply(index, attempt, std::move(reply));
+             }));
   return true;
 }
 
@@ -82,7 +82,9 @@
                          AttemptId attempt,
                          AttemptReply reply) {
   Shard& shard = shards_[index];
-  std::erase(shard.running, attempt);
+  PooledSearcherPtr searcher = TakeRunning(shard.running, attempt);
+  if (!searcher)
+    return;
   if (!IsProvenNotRun(reply.outcome))
     anything_sent_ = true;
   if (reply.outcome == AttemptResult::kNotSent) {
@@ -93,12 +95,12 @@
   if (shard.answered)
     return;
   if (reply.outcome == AttemptResult::kSuccess) {
-    AcceptPart(shard, std::move(reply));
+    AcceptPart(shard, *searcher, std::move(reply));
   } else {
     shard.last_failure = reply.failure;
     Log("part_failed", DecisionRank::kNotable)
         .Add("service", shard.pool->name().value())
-        .Add("searcher", shard.tried.back()->entry.id.value())
+        .Add("searcher", searcher->entry.id.value())
         .Add("status", reply.status)
         .Add("cause", reply.failure);
     if (shard.running.empty())
@@ -107,14 +109,16 @@
   CheckProgress();
 }
 
-void ScatterRun::AcceptPart(Shard& shard, AttemptReply reply) {
+void ScatterRun::AcceptPart(Shard& shard,
+                            const PooledSearcher& searcher,
+                            AttemptReply reply) {
   shard.answered = true;
   shard.part = std::move(reply);
-  last_part_searcher_ = shard.tried.back()->entry.id.value();
+  last_part_searcher_ = searcher.entry.id.value();
   last_part_took_ = now() - subject().request->received;
   ++answered_;
-  for (const AttemptId& it : shard.running)
-    context().launcher.Detach(it, context().options.answered_grace);
+  for (const RunningAttempt& it : shard.running)
+    context().launcher.Detach(it.id, context().options.answered_grace);
   shard.running.clear();
 }
 
@@ -252,8 +256,8 @@
 
 void ScatterRun::DetachAll(Duration grace) {
   for (Shard& shard : shards_) {
-    for (const AttemptId& it : shard.running)
-      context().launcher.Detach(it, grace);
+    for (const RunningAttempt& it : shard.running)
+      context().launcher.Detach(it.id, grace);
     shard.running.clear();
   }
 }
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -30,7 +30,7 @@
   struct Shard {
     PoolPtr pool;
     std::vector<PooledSearcherPtr> tried;
-    std::vector<AttemptId> running;
+    std::vector<RunningAttempt> running;
     // Attempts that may have reached a searcher.
     int sent = 0;
     TimePoint hedge_at;
@@ -45,7 +45,9 @@
   // Until when a part is of use: an answer without it can be in time.
   TimePoint UsefulUntil() const;
   void OnReply(std::size_t index, AttemptId attempt, AttemptReply reply);
-  void AcceptPart(Shard& shard, AttemptReply reply);
+  void AcceptPart(Shard& shard,
+                  const PooledSearcher& searcher,
+                  AttemptReply reply);
   void RetryOrLose(std::size_t index);
   void Hedge(std::size_t index);
   bool IsHedgeDue(const Shard& shard) const;
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -43,16 +43,17 @@
   tried_.push_back(searcher);
   ++sent_;
   hedge_at_ = now() + subject().latency->HedgeDelay(kHedgeQuantile);
-  auto id = std::make_shared<AttemptId>();
-  *id = Launch(searcher, deadline(), [this, id](AttemptReply reply) {
-    OnReply(*id, std::move(reply));
-  });
-  running_.push_back(*id);
+  running_.push_back(Launch(searcher, deadline(),
+                            [this](AttemptId attempt, AttemptReply reply) {
+                              OnReply(attempt, std::move(reply));
+                            }));
   return true;
 }
 
 void SingleRun::OnReply(AttemptId attempt, AttemptReply reply) {
-  std::erase(running_, attempt);
+  PooledSearcherPtr searcher = TakeRunning(running_, attempt);
+  if (!searcher)
+    return;
   AttemptResult outcome = reply.outcome;
   if (!IsProvenNotRun(outcome))
     may_have_run_ = true;
@@ -71,7 +72,7 @@
   }
   Log("attempt_failed", DecisionRank::kNotable)
       .Add("service", pool_->name().value())
-      .Add("searcher", tried_.back()->entry.id.value())
+      .Add("searcher", searcher->entry.id.value())
       .Add("status", reply.status)
       .Add("cause", reply.failure);
   if (!running_.empty() || TryAgain(outcome))
@@ -128,8 +129,8 @@
 
 void SingleRun::OnTimer() {
   if (now() >= deadline()) {
-    for (const AttemptId& it : running_)
-      may_have_run_ = may_have_run_ || context().launcher.IsWritten(it);
+    for (const RunningAttempt& it : running_)
+      may_have_run_ = may_have_run_ || context().launcher.IsWritten(it.id);
     if (may_have_run_)
       Fail(ErrorKind::kDeadlineExceeded, "no reply in time", false);
     else
@@ -163,11 +164,11 @@
 // An attempt that must not run twice is left to finish: its caller can't know
 // whether it ran, and interrupting it would waste the work.
 void SingleRun::DetachAll(Duration grace) {
-  for (const AttemptId& it : running_) {
-    if (route().idempotent || !context().launcher.IsWritten(it))
-      context().launcher.Detach(it, grace);
+  for (const RunningAttempt& it : running_) {
+    if (route().idempotent || !context().launcher.IsWritten(it.id))
+      context().launcher.Detach(it.id, grace);
     else
-      context().launcher.DetachRunning(it);
+      context().launcher.DetachRunning(it.id);
   }
   running_.clear();
 }
--- a/src/dispatch/single_run.h
+++ b/src/dispatch/single_run.h
@@ -35,7 +35,7 @@
 
   std::shared_ptr<ServicePool> pool_;
   std::vector<PooledSearcherPtr> tried_;
-  std::vector<AttemptId> running_;
+  std::vector<RunningAttempt> running_;
   int sent_ = 0;
   TimePoint hedge_at_;
   // Whether any attempt may have run.
--- a/tests/unit/daemon/daemon_settings_test.cc
+++ b/tests/unit/daemon/daemon_settings_test.cc
@@ -54,7 +54,7 @@
 }
 
 // Guards against settings that are missing in the description, which
-// docs/operating.md refers to.
+// docs/OPERATIONS.md refers to.
 TEST(DaemonSettingsTest, DescriptionReadsBackAsTheDefaults) {
   std::vector<SettingFault> faults;
   IniFile file =
