--- a/src/discovery/fleet_membership.cc
+++ b/src/discovery/fleet_membership.cc
@@ -84,6 +84,9 @@
       JJ_LOG(kMembership, WARNING) << "the lease of this daemon has ended";
       lease_ = StoreLease{};
       Register();
+    } else if (status != KvStatus::kOk) {
+      JJ_LOG(kMembership, WARNING) << "the lease of this daemon was not "
+                                      "renewed; the next try is in time";
     }
   });
   timers_.ScheduleAfter(kRenewInterval, [this] { Renew(); });
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -94,7 +94,13 @@
               }};
 }
 
+FrontDaemon::~FrontDaemon() {
+  SetLogOutput(nullptr);
+}
+
 Result<void> FrontDaemon::Start() {
+  SetLogFormat(LogFormat::kJson);
+  SetLogOutput([this](std::string_view line) { sink_.Append(line); });
   SetLogLevels(config_.log_level);
   Result<void> listening = callers_.Listen(config_.listen_callers);
   if (listening)
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -28,6 +28,7 @@
  public:
   // `path` is read again when it changes or on SIGHUP.
   FrontDaemon(FrontConfig config, std::string path);
+  ~FrontDaemon() override;
 
   Result<void> Start();
   // Serves until a signal to stop; the exit code of the process.
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -77,6 +77,8 @@
   for (const json::value& it : items->get_array()) {
     if (std::optional<KvItem> item = DecodeItem(it))
       page.items.push_back(std::move(*item));
+    else
+      JJ_LOG(kStore, WARNING) << "an item of the store has no key or revision";
   }
   const json::value* more = object->if_contains("HasMore");
   page.has_more = more != nullptr && more->is_bool() && more->get_bool();
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <cstring>
 #include <ctime>
+#include <utility>
 
 #include "telemetry/telemetry_port.h"
 
@@ -64,6 +65,11 @@
   return buf.data();
 }
 
+LogOutput& CurrentOutput() {
+  static LogOutput output;
+  return output;
+}
+
 const char* BaseName(const char* path) {
   const char* slash = std::strrchr(path, '/');
   return slash == nullptr ? path : slash + 1;
@@ -137,7 +143,15 @@
          place + "] " + message;
 }
 
+void SetLogOutput(LogOutput output) {
+  CurrentOutput() = std::move(output);
+}
+
 void WriteLogRecord(const LogRecord& record) {
+  if (const LogOutput& output = CurrentOutput()) {
+    output(FormatLogRecord(record, log_format.load()));
+    return;
+  }
   el::Logger* logger = Loggers()[static_cast<std::size_t>(record.category)];
   el::base::Writer(ToLibraryLevel(record.level), record.file,
                    static_cast<el::base::type::LineNumber>(record.line), "")
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -57,7 +58,13 @@
 // these fields.
 std::string FormatLogRecord(const LogRecord& record, LogFormat format);
 
-// Writes to standard error through easylogging++, which takes a lock.
+// Receives formatted lines instead of easylogging++, which takes a lock and can
+// block. Called before threads start; only for a process with one thread.
+using LogOutput = std::function<void(std::string_view)>;
+void SetLogOutput(LogOutput output);
+
+// Writes to the output that was set, else to standard error through
+// easylogging++.
 void WriteLogRecord(const LogRecord& record);
 
 // Collects one message and hands it to the ring of the thread's TelemetryPort,
--- a/tests/unit/telemetry/decision_log_test.cc
+++ b/tests/unit/telemetry/decision_log_test.cc
@@ -80,6 +80,16 @@
       << text;
 }
 
+// Guards against log lines outside of the bounded buffer.
+TEST_F(DecisionLogTest, OtherLinesTakeTheSameWay) {
+  SetLogFormat(LogFormat::kJson);
+  SetLogOutput([this](std::string_view line) { sink_.Append(line); });
+  JJ_LOG(kStore, WARNING) << "the store answered nonsense";
+  SetLogOutput(nullptr);
+  SetLogFormat(LogFormat::kText);
+  EXPECT_NE(ReadAll().find("the store answered nonsense"), std::string::npos);
+}
+
 // Guards against a reader that stops reading and so stops the process.
 TEST_F(DecisionLogTest, AFullPipeDelaysNothing) {
   for (int second = 0; second < 2000; ++second) {
