--- a/tests/unit/front/front_daemon_test.cc
+++ b/tests/unit/front/front_daemon_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -128,11 +129,12 @@
     request.set("Deadline-Ms", "1500");
     http::write(socket, request, ec);
     boost::beast::flat_buffer buf;
-    http::response<http::string_body> response;
-    http::read(socket, buf, response, ec);
+    http::response_parser<http::string_body> parser;
+    http::read(socket, buf, parser, ec);
     Reply reply;
     if (ec)
       return reply;
+    const http::response<http::string_body>& response = parser.get();
     reply.status = response.result_int();
     reply.body = response.body();
     for (const auto& it : response.base())
