Refuse a passed deadline at once and count a repeated proof once

A request whose deadline had passed on arrival was still sent to every shard. An answer whose parts repeat a proof could fall below the least share of shards and still be a success. Both have a test that failed first.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -173,7 +173,7 @@
   }
   RunSubject subject{std::move(request), table_, route, LatencyOf(*route)};
   RunPtr run = MakeRun(std::move(subject), std::move(done));
-  run->Start();
+  run->Begin();
   return run;
 }
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -36,6 +36,13 @@
                  context_.options.caller_round_trip;
 }
 
+void RequestRun::Begin() {
+  if (now() < deadline_)
+    Start();
+  else
+    Fail(ErrorKind::kDeadlineUnmeetable, "the deadline has passed", false);
+}
+
 void RequestRun::Abandon() {
   if (finished_)
     return;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -50,11 +50,13 @@
   RequestRun(RunContext& context, RunSubject subject, AnswerHandler done);
   virtual ~RequestRun() = default;
 
-  virtual void Start() = 0;
+  // Refuses a request whose deadline has passed, else starts it.
+  void Begin();
   // The caller has left. Nothing is answered any more.
   void Abandon();
 
  protected:
+  virtual void Start() = 0;
   // Ends attempts under way for which nobody waits any more.
   virtual void DetachAll(Duration grace) = 0;
   virtual void OnTimer() = 0;
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -214,6 +214,10 @@
     answer.part_proofs.push_back(it.part.proof);
     bodies.push_back(it.part.body);
   }
+  if (answer.part_proofs.size() < required()) {
+    FailShort("replies repeat a proof");
+    return;
+  }
   answer.missing_parts =
       static_cast<int>(shards_.size() - answer.part_proofs.size());
   answer.body = MergeTopRecords(bodies, route().scatter->top_records);
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -19,9 +19,8 @@
              const std::vector<PoolPtr>& pools,
              AnswerHandler done);
 
-  void Start() override;
-
  protected:
+  void Start() override;
   void DetachAll(Duration grace) override;
   void OnTimer() override;
   void Describe(DecisionLine& line) const override;
--- a/src/dispatch/single_run.h
+++ b/src/dispatch/single_run.h
@@ -17,9 +17,8 @@
             std::shared_ptr<ServicePool> pool,
             AnswerHandler done);
 
-  void Start() override;
-
  protected:
+  void Start() override;
   void DetachAll(Duration grace) override;
   void OnTimer() override;
   void Describe(DecisionLine& line) const override;
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -85,14 +85,16 @@
     }
   }
 
-  Dispatcher::RunPtr Submit(const std::string& target) {
+  Dispatcher::RunPtr Submit(
+      const std::string& target,
+      Duration deadline = std::chrono::milliseconds(800)) {
     auto request = std::make_shared<ForwardedRequest>();
     request->id = "r" + std::to_string(++submitted_);
     request->method = "GET";
     request->target = target;
     request->host = "host";
     request->received = timers_.Now();
-    request->deadline = std::chrono::milliseconds(800);
+    request->deadline = deadline;
     answer_.reset();
     return dispatcher_.Submit(
         request, [this](CallerAnswer answer) { answer_ = std::move(answer); });
--- a/tests/unit/dispatch/scatter_run_test.cc
+++ b/tests/unit/dispatch/scatter_run_test.cc
@@ -140,6 +140,29 @@
   EXPECT_EQ(answer_->missing_parts, 1);
 }
 
+// Guards against a success with too few parts, one of which is there twice.
+TEST_F(ScatterRunTest, ARepeatedProofCountsOnceForTheLeastShare) {
+  Configure(2, 1.0);
+  AddSearchers("s0", 1);
+  AddSearchers("s1", 1);
+  Submit("/scatter/1");
+  transport_.Answer("s0.0", Transport::Success("same", Record('a')));
+  transport_.Answer("s1.0", Transport::Success("same", Record('a')));
+  ASSERT_TRUE(answer_);
+  EXPECT_EQ(answer_->error, ErrorKind::kShardsUnavailable);
+}
+
+// Guards against work for a request that can't be answered in time any more.
+TEST_F(ScatterRunTest, APassedDeadlineIsRefusedAtOnce) {
+  Configure(2, 1.0);
+  AddSearchers("s0", 1);
+  AddSearchers("s1", 1);
+  Submit("/scatter/1", std::chrono::milliseconds(15));
+  ASSERT_TRUE(answer_);
+  EXPECT_EQ(answer_->error, ErrorKind::kDeadlineUnmeetable);
+  EXPECT_TRUE(transport_.order().empty());
+}
+
 // Guards against attempts that wait for a connection and reach their searcher
 // when the answer has been sent: with one searcher left of a shard, such work
 // made mkaa's scale-1 miss every part of it.
