Send what must not repeat on fresh connections; bound connecting to the store

Ruled out: the delay after changes (0.3 s), the limit of requests at a searcher.

Cause 2: a searcher that forgot an idle connection resets the next request, whose outcome is then unknown.

--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -109,10 +109,10 @@
                                   TimePoint useful_until,
                                   AttemptHandler done) {
   std::shared_ptr<RequestRun> self = shared_from_this();
-  AttemptTiming timing{deadline_, std::min(useful_until, deadline_),
-                       subject_.latency->usual()};
+  AttemptTerms terms{deadline_, std::min(useful_until, deadline_),
+                     subject_.latency->usual(), route().idempotent};
   AttemptId id = context_.launcher.Launch(
-      searcher, subject_.request, subject_.latency, timing,
+      searcher, subject_.request, subject_.latency, terms,
       [self, done = std::move(done)](AttemptId id, AttemptReply reply) {
         if (!self->finished_)
           done(id, std::move(reply));
--- a/src/dispatch/searcher_transport.h
+++ b/src/dispatch/searcher_transport.h
@@ -54,8 +54,8 @@
          outcome == AttemptResult::kNotSent;
 }
 
-// When a reply is of use.
-struct AttemptTiming {
+// How an attempt is to be sent.
+struct AttemptTerms {
   // The searcher is told what is left until then.
   TimePoint deadline;
   // An attempt that is not written early enough for a reply by then is not sent
@@ -63,6 +63,8 @@
   TimePoint useful_until;
   // How long the searcher is expected to take.
   Duration expected{};
+  // Whether the request may run again if its connection breaks.
+  bool repeatable = true;
 };
 
 // Sends attempts to searchers over shared connections.
@@ -78,7 +80,7 @@
   virtual void Send(AttemptId attempt,
                     const SearcherEntry& searcher,
                     ForwardedRequestPtr request,
-                    const AttemptTiming& timing,
+                    const AttemptTerms& terms,
                     ReplyHandler done) = 0;
   // Forgets the attempt. If it was sent, its connection is closed, so that the
   // searcher stops working on it. False when it was never written to a
--- a/src/egress/http_searcher_transport.cc
+++ b/src/egress/http_searcher_transport.cc
@@ -35,12 +35,12 @@
 void HttpSearcherTransport::Send(AttemptId attempt,
                                  const SearcherEntry& searcher,
                                  ForwardedRequestPtr request,
-                                 const AttemptTiming& timing,
+                                 const AttemptTerms& terms,
                                  ReplyHandler done) {
   ConnectionsPtr connections = ConnectionsOf(searcher);
   attempts_.emplace(attempt, connections);
   connections->Send(
-      attempt, std::move(request), timing,
+      attempt, std::move(request), terms,
       [this, attempt, done = std::move(done)](AttemptReply reply) {
         // Keeps the connections until their caller returns.
         auto node = attempts_.extract(attempt);
--- a/src/egress/searcher_connections.cc
+++ b/src/egress/searcher_connections.cc
@@ -18,6 +18,9 @@
 // keeps them, or after the default if it did not say.
 constexpr double kIdleShare = 0.7;
 constexpr Duration kDefaultIdle = std::chrono::seconds(20);
+// A request that must not run twice is sent on a connection that was in use
+// within this time, or on a new one.
+constexpr Duration kTrustedIdle = milliseconds(500);
 // An attempt that was cancelled after this time without a byte of a reply
 // makes the other idle connections doubtful: they may have gone silent too.
 constexpr Duration kSilence = milliseconds(400);
@@ -43,15 +46,15 @@
 
 void SearcherConnections::Send(AttemptId attempt,
                                ForwardedRequestPtr request,
-                               const AttemptTiming& timing,
+                               const AttemptTerms& terms,
                                SearcherTransport::ReplyHandler done) {
   auto position =
-      std::upper_bound(waiting_.begin(), waiting_.end(), timing.useful_until,
+      std::upper_bound(waiting_.begin(), waiting_.end(), terms.useful_until,
                        [](TimePoint useful_until, const Attempt& it) {
-                         return useful_until < it.timing.useful_until;
+                         return useful_until < it.terms.useful_until;
                        });
-  waiting_.insert(
-      position, Attempt{attempt, std::move(request), timing, std::move(done)});
+  waiting_.insert(position,
+                  Attempt{attempt, std::move(request), terms, std::move(done)});
   Assign();
   ScheduleDrop();
 }
@@ -60,8 +63,8 @@
   timers_.Cancel(drop_timer_);
   if (waiting_.empty())
     return;
-  const AttemptTiming& timing = waiting_.front().timing;
-  drop_timer_ = timers_.ScheduleAt(timing.useful_until - timing.expected,
+  const AttemptTerms& terms = waiting_.front().terms;
+  drop_timer_ = timers_.ScheduleAt(terms.useful_until - terms.expected,
                                    [this] { DropLate(); });
 }
 
@@ -69,8 +72,8 @@
   std::vector<Attempt> late;
   TimePoint now = timers_.Now();
   while (!waiting_.empty()) {
-    const AttemptTiming& timing = waiting_.front().timing;
-    if (now < timing.useful_until - timing.expected)
+    const AttemptTerms& terms = waiting_.front().terms;
+    if (now < terms.useful_until - terms.expected)
       break;
     late.push_back(std::move(waiting_.front()));
     waiting_.pop_front();
@@ -90,7 +93,7 @@
        it != connections_.end() && !waiting_.empty();) {
     auto next = std::next(it);
     if (it->client->state() == ClientConnection::State::kIdle) {
-      if (IsExpired(*it)) {
+      if (IsExpired(*it) || !IsTrusted(*it, waiting_.front())) {
         Close(it);
       } else {
         Attempt attempt = std::move(waiting_.front());
@@ -174,7 +177,7 @@
 
 void SearcherConnections::Write(Iterator it, Attempt attempt) {
   TimePoint now = timers_.Now();
-  Duration remaining = std::max(attempt.timing.deadline - now, Duration(1000));
+  Duration remaining = std::max(attempt.terms.deadline - now, Duration(1000));
   ++stats_.requests_sent;
   it->sent_at = now;
   std::string head =
@@ -269,6 +272,14 @@
   return timers_.Now() - connection.idle_since > limit;
 }
 
+// A searcher, or something between, may have forgotten an idle connection. Then
+// it is reset by the next request, which may have run for all that is known.
+bool SearcherConnections::IsTrusted(const Connection& connection,
+                                    const Attempt& attempt) const {
+  return attempt.terms.repeatable ||
+         timers_.Now() - connection.idle_since < kTrustedIdle;
+}
+
 void SearcherConnections::Close(Iterator it) {
   timers_.Cancel(it->connect_timer);
   it->client->Close();
--- a/src/egress/searcher_connections.h
+++ b/src/egress/searcher_connections.h
@@ -30,7 +30,7 @@
 
   void Send(AttemptId attempt,
             ForwardedRequestPtr request,
-            const AttemptTiming& timing,
+            const AttemptTerms& terms,
             SearcherTransport::ReplyHandler done);
   bool Cancel(AttemptId attempt);
   bool IsWritten(AttemptId attempt) const;
@@ -47,7 +47,7 @@
   struct Attempt {
     AttemptId id;
     ForwardedRequestPtr request;
-    AttemptTiming timing;
+    AttemptTerms terms;
     SearcherTransport::ReplyHandler done;
   };
   struct Connection {
@@ -71,6 +71,8 @@
   void Close(Iterator it);
   void CloseIdleSince(TimePoint before);
   bool IsExpired(const Connection& connection) const;
+  // Whether the attempt may be written to this idle connection.
+  bool IsTrusted(const Connection& connection, const Attempt& attempt) const;
   void FailWaiting(const std::string& reason);
   AttemptReply Decode(HttpExchange exchange) const;
 
--- a/src/http/http_caller.cc
+++ b/src/http/http_caller.cc
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace jujubecove {
+namespace {
+
+// A server that is reached accepts within milliseconds; half a second covers
+// one that is slow.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+
+}  // namespace
 
 HttpCaller::HttpCaller(boost::asio::io_context& context,
                        TimerService& timers,
@@ -19,6 +26,7 @@
     it->Close();
   for (const CallPtr& it : calls_) {
     timers_.Cancel(it->timer);
+    timers_.Cancel(it->connect_timer);
     it->connection->Close();
   }
 }
@@ -39,13 +47,7 @@
     call->head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   call->head += "\r\n";
   call->done = std::move(done);
-  std::weak_ptr<PendingCall> weak = call;
-  call->timer = timers_.ScheduleAfter(timeout, [this, weak] {
-    if (CallPtr late = weak.lock()) {
-      late->connection->Close();
-      End(late, std::nullopt);
-    }
-  });
+  call->timer = EndAfter(call, timeout);
   calls_.push_back(call);
   call->connection = TakeIdle();
   if (call->connection)
@@ -54,6 +56,16 @@
     Connect(call);
 }
 
+TimerId HttpCaller::EndAfter(const CallPtr& call, Duration delay) {
+  std::weak_ptr<PendingCall> weak = call;
+  return timers_.ScheduleAfter(delay, [this, weak] {
+    if (CallPtr late = weak.lock()) {
+      late->connection->Close();
+      End(late, std::nullopt);
+    }
+  });
+}
+
 std::shared_ptr<ClientConnection> HttpCaller::TakeIdle() {
   if (idle_.empty())
     return nullptr;
@@ -65,6 +77,7 @@
 void HttpCaller::Connect(const CallPtr& call) {
   call->connection =
       std::make_shared<ClientConnection>(context_, max_reply_bytes_);
+  call->connect_timer = EndAfter(call, kConnectTimeout);
   ClientConnection* connection = call->connection.get();
   // The call on a connection changes, so it is looked up each time.
   auto find = [this, connection]() -> CallPtr {
@@ -96,12 +109,14 @@
 }
 
 void HttpCaller::Send(const CallPtr& call) {
+  timers_.Cancel(call->connect_timer);
   call->connection->Send(std::move(call->head), call->body, false);
 }
 
 void HttpCaller::End(const CallPtr& call, std::optional<WireReply> reply) {
   CallPtr ended = call;
   timers_.Cancel(ended->timer);
+  timers_.Cancel(ended->connect_timer);
   std::erase(calls_, ended);
   if (ended->connection->state() == ClientConnection::State::kIdle)
     idle_.push_back(ended->connection);
--- a/src/http/http_caller.h
+++ b/src/http/http_caller.h
@@ -14,6 +14,8 @@
 namespace jujubecove {
 
 // Calls one HTTP server over kept connections, with a timeout for each call. A
+// new connection has a shorter timeout of its own, so that a call that waits
+// long for its reply does not wait long for a server that is cut off. A
 // connection on which a call failed is not used again.
 class HttpCaller {
  public:
@@ -41,11 +43,13 @@
     std::shared_ptr<const std::string> body;
     Done done;
     TimerId timer;
+    TimerId connect_timer;
   };
   using CallPtr = std::shared_ptr<PendingCall>;
 
   std::shared_ptr<ClientConnection> TakeIdle();
   void Connect(const CallPtr& call);
+  TimerId EndAfter(const CallPtr& call, Duration delay);
   void Send(const CallPtr& call);
   void End(const CallPtr& call, std::optional<WireReply> reply);
   void Forget(const ClientConnection* connection);
--- a/tests/unit/dispatch/fake_searcher_transport.h
+++ b/tests/unit/dispatch/fake_searcher_transport.h
@@ -15,17 +15,17 @@
  public:
   struct Sent {
     SearcherEntry searcher;
-    AttemptTiming timing;
+    AttemptTerms terms;
     ReplyHandler done;
   };
 
   void Send(AttemptId attempt,
             const SearcherEntry& searcher,
             ForwardedRequestPtr,
-            const AttemptTiming& timing,
+            const AttemptTerms& terms,
             ReplyHandler done) override {
     order_.push_back(searcher.id.value());
-    pending_.emplace(attempt, Sent{searcher, timing, std::move(done)});
+    pending_.emplace(attempt, Sent{searcher, terms, std::move(done)});
   }
   bool Cancel(AttemptId attempt) override {
     ++cancelled_;
--- a/tests/unit/dispatch/scatter_run_test.cc
+++ b/tests/unit/dispatch/scatter_run_test.cc
@@ -173,7 +173,7 @@
   TimePoint start = timers_.Now();
   Submit("/scatter/1");
   for (const auto& [id, sent] : transport_.pending()) {
-    EXPECT_EQ(sent.timing.useful_until, start + std::chrono::milliseconds(90));
+    EXPECT_EQ(sent.terms.useful_until, start + std::chrono::milliseconds(90));
   }
 }
 
--- a/tests/unit/egress/searcher_transport_test.cc
+++ b/tests/unit/egress/searcher_transport_test.cc
@@ -36,7 +36,8 @@
   void Send(std::uint64_t attempt,
             const std::string& id = "r1",
             Duration useful = seconds(5),
-            Duration expected = Duration(0)) {
+            Duration expected = Duration(0),
+            bool repeatable = true) {
     auto request = std::make_shared<ForwardedRequest>();
     request->id = id;
     request->method = "GET";
@@ -45,7 +46,7 @@
     request->headers = {{"Request-Id", id}, {"Accept", "x"}};
     TimePoint now = timers_.Now();
     transport_.Send(AttemptId(attempt), searcher_, request,
-                    {now + seconds(5), now + useful, expected},
+                    {now + seconds(5), now + useful, expected, repeatable},
                     [this, attempt](AttemptReply reply) {
                       replies_.emplace(attempt, std::move(reply));
                     });
@@ -210,6 +211,25 @@
   EXPECT_EQ(server_->accepted(), 2);
 }
 
+// Guards against an unknown outcome because a searcher forgot an idle
+// connection: a request that must not run twice gets a fresh one.
+TEST_F(SearcherTransportTest, ALongIdleConnectionIsNotTrusted) {
+  Serve([](const std::string&) { return ScriptedServer::Reaction{kGood}; });
+  Send(1);
+  ASSERT_TRUE(Await(1));
+  RunFor(milliseconds(600));
+  Send(2);
+  ASSERT_TRUE(Await(2));
+  EXPECT_EQ(server_->accepted(), 1);
+  RunFor(milliseconds(600));
+  Send(3, "r1", seconds(5), Duration(0), false);
+  ASSERT_TRUE(Await(3));
+  EXPECT_EQ(server_->accepted(), 2);
+  Send(4, "r1", seconds(5), Duration(0), false);
+  ASSERT_TRUE(Await(4));
+  EXPECT_EQ(server_->accepted(), 2);
+}
+
 TEST_F(SearcherTransportTest, ARefusedConnectionProvesThatNothingRan) {
   Serve([](const std::string&) { return ScriptedServer::Reaction{kGood}; });
   server_.reset();
--- a/tests/unit/platform/kv_client_test.cc
+++ b/tests/unit/platform/kv_client_test.cc
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
 #include <optional>
+#include <vector>
 
 #include "kernel/asio_timer_service.h"
 #include "platform/json_codec.h"
@@ -133,6 +136,37 @@
   EXPECT_EQ(server_->accepted(), 2);
 }
 
+// Guards against a watch that waits seconds for a connection to a store that
+// was cut off and is back: on hayabusa's scale-2 a daemon then asked shards of
+// an old configuration for 1 to 3 s longer.
+TEST_F(KvClientTest, AWatchDoesNotWaitLongForAConnection) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor full(context_);
+  full.open(tcp::v4());
+  full.bind(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  full.listen(0);
+  // Connections that nobody accepts fill the queue; later ones get no answer.
+  std::vector<std::unique_ptr<tcp::socket>> waiting;
+  for (int n = 0; n < 4; ++n) {
+    waiting.push_back(std::make_unique<tcp::socket>(context_));
+    waiting.back()->async_connect(full.local_endpoint(),
+                                  [](const boost::system::error_code&) {});
+  }
+  context_.run_for(milliseconds(50));
+  client_.emplace(context_, timers_,
+                  SocketAddress{"127.0.0.1", full.local_endpoint().port()},
+                  seconds(10));
+  bool done = false;
+  TimePoint start = timers_.Now();
+  client_->Watch("", StoreRevision(1), seconds(20),
+                 [&done](const KvPage& page) {
+                   EXPECT_EQ(page.status, KvStatus::kUnknown);
+                   done = true;
+                 });
+  RunUntil(done);
+  EXPECT_LT(timers_.Now() - start, seconds(2));
+}
+
 TEST(JsonCodecTest, Base64RoundTrip) {
   for (const char* text : {"", "a", "ab", "abc", "abcd", "\x01\xff"})
     EXPECT_EQ(DecodeBase64(EncodeBase64(text)), text);
