--- a/src/dispatch/searcher_health.cc
+++ b/src/dispatch/searcher_health.cc
@@ -27,8 +27,8 @@
 constexpr Duration kFirstSuspicion = milliseconds(250);
 constexpr Duration kLongestSuspicion = milliseconds(4000);
 constexpr int kMaxDoublings = 4;
-// A registration outlives its searcher by three missed heartbeats, which is less
-// than this.
+// A registration outlives its searcher by three missed heartbeats, which is
+// less than this.
 constexpr Duration kDisplacement = milliseconds(5000);
 
 }  // namespace
--- a/tests/unit/dispatch/single_run_test.cc
+++ b/tests/unit/dispatch/single_run_test.cc
@@ -149,8 +149,9 @@
 }
 
 // Guards against requests that go on reaching the searcher to which an address
-// has passed, until the registration of the earlier one expires: on a hunted day
-// of hayabusa-quiz they made 748 arrivals beyond the first in 10 s at its service.
+// has passed, until the registration of the earlier one expires: on a hunted
+// day of hayabusa-quiz they made 748 arrivals beyond the first in 10 s at its
+// service.
 TEST_F(SingleRunTest, ADisplacedSearcherGetsNothingMore) {
   Configure(1, 1.0);
   AddSearchers("single", 2);
