--- a/src/daemon/query_side.cc
+++ b/src/daemon/query_side.cc
@@ -112,10 +112,8 @@
   state.not_ready_reasons.clear();
   if (document_)
     state.config_version = document_->version;
-  else if (config_reason_.empty())
+  else
     state.not_ready_reasons.emplace_back("no document is known");
-  if (!config_reason_.empty())
-    state.not_ready_reasons.push_back(config_reason_);
   if (searchers_.empty())
     state.not_ready_reasons.emplace_back("no searcher is known");
   else if (document_ && !HasUsableMaps())
--- a/src/daemon/query_side.h
+++ b/src/daemon/query_side.h
@@ -55,9 +55,6 @@
   void SetDocument(std::shared_ptr<const Document> document);
   void SetLiveDaemons(std::size_t count);
   void ApplyVmList(const std::vector<SearcherVm>& searchers);
-  // Why the configuration keeps the daemon from being ready; empty if it does
-  // not.
-  void SetConfigReason(const std::string& reason) { config_reason_ = reason; }
 
  private:
   void Watch();
@@ -74,7 +71,6 @@
   MeteredQueryService metered_service_;
   StateHandler state_handler_;
   std::shared_ptr<const Document> document_;
-  std::string config_reason_;
   std::size_t live_daemons_ = 1;
   std::vector<SearcherVm> searchers_;
   // When the first searcher was listed.
--- a/src/dispatch/latency_histogram.h
+++ b/src/dispatch/latency_histogram.h
@@ -16,7 +16,6 @@
   // The latency that the given share of recent observations does not exceed;
   // `fallback` while there are too few of them.
   Duration Quantile(double share, Duration fallback) const;
-  double weight() const { return total_; }
 
  private:
   // 10% steps from 0.5 ms on cover up to 20 s.
--- a/src/dispatch/searcher_health.h
+++ b/src/dispatch/searcher_health.h
@@ -40,7 +40,6 @@
   int slots() const { return slots_; }
   void set_slots(int slots) { slots_ = slots; }
   void set_warm_at(TimePoint at) { warm_at_ = at; }
-  double failure_share() const { return failure_share_; }
 
  private:
   double EstimatedLoad(TimePoint now) const;
--- a/src/egress/searcher_connections.h
+++ b/src/egress/searcher_connections.h
@@ -40,7 +40,6 @@
   // Closes connections that were idle for too long.
   void CloseExpired();
   bool empty() const { return connections_.empty() && waiting_.empty(); }
-  bool retired() const { return retired_; }
   const SearcherEntry& searcher() const { return searcher_; }
 
  private:
