Spread repeats over the budget's window, and say when it is spent

The arithmetic shows the fault in the landed code all the same: a daemon may spend the budget of a whole window in a moment, and its successor counts from nothing.

Change: a quarter of the window spends a quarter of what its requests allow and 0.7 of the slack. The planned share rises from 0.85 to 0.9.

Logs: retry_denied, and budget_spent as the cause of a missing part.

--- a/src/dispatch/dispatch_metrics.cc
+++ b/src/dispatch/dispatch_metrics.cc
@@ -10,7 +10,7 @@
 
 std::string_view NameOf(MissingCause cause) {
   constexpr std::array<std::string_view, kMissingCauseCount> kNames = {
-      "no_searcher", "failed", "not_in_time"};
+      "no_searcher", "failed", "not_in_time", "budget_spent"};
   return kNames[static_cast<std::size_t>(cause)];
 }
 
--- a/src/dispatch/dispatch_metrics.h
+++ b/src/dispatch/dispatch_metrics.h
@@ -20,8 +20,10 @@
   kNoSearcher,
   kFailed,
   kNotInTime,
+  // An attempt failed and the repeat budget allowed no further one.
+  kBudgetSpent,
 };
-inline constexpr int kMissingCauseCount = 3;
+inline constexpr int kMissingCauseCount = 4;
 std::string_view NameOf(MissingCause cause);
 
 inline constexpr int kAttemptResultCount =
--- a/src/dispatch/repeat_budget.cc
+++ b/src/dispatch/repeat_budget.cc
@@ -6,8 +6,16 @@
 namespace {
 
 // Part of the fleet's bound that the daemons plan to use. The rest covers
-// daemons that were restarted within the window and started to count anew.
-constexpr double kUsedShare = 0.85;
+// daemons that were restarted within the window and started to count anew, and
+// daemons that do not know the fleet's size yet.
+constexpr double kUsedShare = 0.9;
+// A daemon that ends may have spent its budget in a moment, and its successor,
+// which starts to count anew, would spend the budget of the same window again.
+// So within a quarter of the window at most a quarter of what the requests
+// allow is spent, and this part of the slack.
+constexpr std::int64_t kBurstSlices = 5;
+constexpr double kBurstShareOfRatio = 0.25;
+constexpr double kBurstShareOfSlack = 0.7;
 // Part of the budget that hedges leave to retries after a failure.
 constexpr double kRetryReserve = 0.2;
 
@@ -38,18 +46,28 @@
   return passed * options_.slack / fleet_size_;
 }
 
-double FleetRepeatBudget::available(TimePoint now) {
+FleetRepeatBudget::Spent FleetRepeatBudget::SpentBy(TimePoint now) {
   std::int64_t newest = Current(now).number;
-  double requests = 0.0;
-  double repeats = 0.0;
+  Spent spent;
   for (const Slice& it : slices_) {
-    if (it.number < 0 ||
-        newest - it.number > static_cast<std::int64_t>(kSlices))
+    std::int64_t age = newest - it.number;
+    if (it.number < 0 || age > static_cast<std::int64_t>(kSlices))
       continue;
-    requests += it.requests;
-    repeats += it.repeats;
+    spent.requests += it.requests;
+    spent.repeats += it.repeats;
+    if (age < kBurstSlices)
+      spent.latest_repeats += it.repeats;
   }
-  return kUsedShare * (options_.ratio * requests + SlackShare(now)) - repeats;
+  return spent;
+}
+
+double FleetRepeatBudget::available(TimePoint now) {
+  Spent spent = SpentBy(now);
+  double for_requests = kUsedShare * options_.ratio * spent.requests;
+  double slack = kUsedShare * SlackShare(now);
+  double burst = kBurstShareOfRatio * for_requests + kBurstShareOfSlack * slack;
+  return std::min(for_requests + slack - spent.repeats,
+                  burst - spent.latest_repeats);
 }
 
 bool FleetRepeatBudget::TryTake(TimePoint now, double reserve_share) {
--- a/src/dispatch/repeat_budget.h
+++ b/src/dispatch/repeat_budget.h
@@ -45,7 +45,14 @@
     std::uint32_t repeats = 0;
   };
 
+  struct Spent {
+    double requests = 0.0;
+    double repeats = 0.0;
+    double latest_repeats = 0.0;
+  };
+
   Slice& Current(TimePoint now);
+  Spent SpentBy(TimePoint now);
   bool TryTake(TimePoint now, double reserve_share);
   double SlackShare(TimePoint now) const;
 
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -130,12 +130,15 @@
 }
 
 bool RequestRun::TakeRetry(ServicePool& pool) {
-  bool taken = pool.budget().TryTakeRetry(now());
-  if (taken)
+  if (pool.budget().TryTakeRetry(now())) {
     metrics().CountRetry();
-  else
-    metrics().CountBudgetDenied();
-  return taken;
+    return true;
+  }
+  metrics().CountBudgetDenied();
+  Log("retry_denied", DecisionRank::kNotable)
+      .Add("service", pool.name().value())
+      .Add("budget_left", pool.budget().available(now()));
+  return false;
 }
 
 bool RequestRun::TakeHedge(ServicePool& pool) {
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -127,7 +127,8 @@
   bool more = shard.sent < route().max_attempts && now() < deadline();
   // Nothing has arrived at the shard yet, so the next attempt is no repeat.
   bool is_first = shard.sent == 0;
-  if (more && (is_first || TakeRetry(*shard.pool))) {
+  shard.budget_denied = more && !is_first && !TakeRetry(*shard.pool);
+  if (more && !shard.budget_denied) {
     if (LaunchNext(index))
       return;
     if (!is_first)
@@ -224,9 +225,10 @@
   for (const Shard& it : shards_) {
     if (it.answered)
       continue;
-    MissingCause cause = it.tried.empty() ? MissingCause::kNoSearcher
-                         : it.lost        ? MissingCause::kFailed
-                                          : MissingCause::kNotInTime;
+    MissingCause cause = it.tried.empty()   ? MissingCause::kNoSearcher
+                         : it.budget_denied ? MissingCause::kBudgetSpent
+                         : it.lost          ? MissingCause::kFailed
+                                            : MissingCause::kNotInTime;
     metrics().CountMissing(cause);
     Log("part_missing", DecisionRank::kNotable)
         .Add("service", it.pool->name().value())
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -34,6 +34,8 @@
     int sent = 0;
     TimePoint hedge_at;
     bool answered = false;
+    // The repeat budget denied a further attempt.
+    bool budget_denied = false;
     // No further attempt is possible and none is running.
     bool lost = false;
     AttemptReply part;
