Add a randomized soak of the real daemon with faults from outside

tests/soak starts daemons as processes and surrounds them with a store, searchers, callers and loopback proxies of its own. From a seed it terminates, kills, pauses and reloads daemons, delays, cuts (one way or both), silences and resets their connections to the store and to searchers, stops and compacts the store, drains searchers, swaps the addresses of ended ones, makes them refuse or lose replies, and changes the configuration; faults follow each other faster than they end. PromiseLedger checks what callers and searchers see; each of its checks has a test that breaks the promise.

--- a/bench/cluster.cc
+++ b/bench/cluster.cc
@@ -66,7 +66,7 @@
   fleet_->Start();
   std::ofstream(directory_ + "/vms.json") << fleet_->VmListJson();
   std::ofstream(directory_ + "/document.ini") << options_.document;
-  platform_ = std::make_unique<ChildProcess>(
+  platform_ = std::make_unique<standin::ChildProcess>(
       std::vector<std::string>{
           BuildDirectory() + "/tests/standin/standin_platform",
           "--port=" + std::to_string(options_.first_port),
@@ -83,7 +83,7 @@
 }
 
 Cluster::~Cluster() {
-  for (std::unique_ptr<ChildProcess>& it : daemons_)
+  for (std::unique_ptr<standin::ChildProcess>& it : daemons_)
     it->Signal(SIGKILL);
   daemons_.clear();
   platform_.reset();
@@ -119,7 +119,7 @@
 
 void Cluster::StartDaemon(std::size_t n) {
   std::string name = directory_ + "/daemon" + std::to_string(n);
-  daemons_[n] = std::make_unique<ChildProcess>(
+  daemons_[n] = std::make_unique<standin::ChildProcess>(
       std::vector<std::string>{BuildDirectory() + "/src/jujubecoved",
                                "--config=" + name + ".ini",
                                "--document=" + directory_ + "/document.ini"},
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "bench/process.h"
+#include "tests/standin/child_process.h"
 #include "tests/standin/searcher_fleet_server.h"
 
 namespace jujubecove::bench {
@@ -39,7 +39,7 @@
   ~Cluster();
 
   std::vector<std::uint16_t> caller_ports() const;
-  ChildProcess& daemon(std::size_t n) { return *daemons_[n]; }
+  standin::ChildProcess& daemon(std::size_t n) { return *daemons_[n]; }
   std::size_t daemon_count() const { return daemons_.size(); }
   // Starts a daemon anew after it was killed, and waits until it is ready.
   void RestartDaemon(std::size_t n);
@@ -66,8 +66,8 @@
   ClusterOptions options_;
   std::string directory_;
   std::unique_ptr<standin::SearcherFleetServer> fleet_;
-  std::unique_ptr<ChildProcess> platform_;
-  std::vector<std::unique_ptr<ChildProcess>> daemons_;
+  std::unique_ptr<standin::ChildProcess> platform_;
+  std::vector<std::unique_ptr<standin::ChildProcess>> daemons_;
 };
 
 }  // namespace jujubecove::bench
--- a/bench/process.cc
+++ b/tests/standin/child_process.cc
@@ -1,4 +1,4 @@
-#include "bench/process.h"
+#include "tests/standin/child_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -12,7 +12,7 @@
 #include <sstream>
 #include <thread>
 
-namespace jujubecove::bench {
+namespace jujubecove::standin {
 
 ChildProcess::ChildProcess(const std::vector<std::string>& arguments,
                            const std::string& log_path) {
@@ -96,4 +96,4 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
-}  // namespace jujubecove::bench
+}  // namespace jujubecove::standin
--- a/bench/process.h
+++ b/tests/standin/child_process.h
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
-namespace jujubecove::bench {
+namespace jujubecove::standin {
 
-// A process that an experiment starts and measures. It is killed with the
-// object if it still runs.
+// A process that a test or an experiment starts and measures. It is killed with
+// the object if it still runs.
 class ChildProcess {
  public:
   // Standard output and error go to `log_path`.
@@ -39,4 +39,4 @@
   std::optional<int> exit_code_;
 };
 
-}  // namespace jujubecove::bench
+}  // namespace jujubecove::standin
--- a/tests/standin/platform_searcher.cc
+++ b/tests/standin/platform_searcher.cc
@@ -41,6 +41,11 @@
                      });
   }
 
+  void Close() {
+    error_code ec;
+    socket_.close(ec);
+  }
+
  private:
   void Handle() {
     response_ = {};
@@ -56,17 +61,25 @@
       Write();
     } else {
       ++state_->runs;
-      response_.set(platform::kResponseStamp, state_->id + "." + id);
-      for (int n = 0; n < kRecords; ++n) {
-        std::string record = std::to_string(n) + "-" + state_->id;
-        record.resize(kRecordBytes, '.');
-        response_.body() += record;
+      if (state_->observer) {
+        state_->observer({state_->id, state_->service, id,
+                          std::string(request_.method_string()),
+                          std::string(request_.target()), request_.body()});
       }
+      response_.set(platform::kResponseStamp, state_->id + "." + id);
+      response_.body() = RecordsOf(state_->id);
       timers_.ScheduleAfter(state_->service_time,
-                            [self = shared_from_this()] { self->Write(); });
+                            [self = shared_from_this()] { self->Reply(); });
     }
   }
 
+  void Reply() {
+    if (state_->losing_replies)
+      Close();
+    else
+      Write();
+  }
+
   void Write() {
     response_.prepare_payload();
     http::async_write(socket_, response_,
@@ -106,7 +119,9 @@
 std::string PlatformSearcher::Registration(SearcherState state) const {
   boost::json::object entry{
       {"Service", state_->service},
-      {"Address", "127.0.0.1:" + std::to_string(port())},
+      {"Address",
+       "127.0.0.1:" +
+           std::to_string(advertised_port_ == 0 ? port() : advertised_port_)},
       {"Zone", "nyeri"},
       {"Version", "v1"},
       {"Slots", 2},
@@ -121,9 +136,34 @@
   acceptor_.async_accept([this](error_code ec, asio::ip::tcp::socket socket) {
     if (ec)
       return;
-    std::make_shared<Session>(std::move(socket), timers_, state_)->Read();
+    auto session =
+        std::make_shared<Session>(std::move(socket), timers_, state_);
+    std::erase_if(sessions_, [](const std::weak_ptr<Session>& it) {
+      return it.expired();
+    });
+    sessions_.push_back(session);
+    session->Read();
     Accept();
   });
 }
 
+void PlatformSearcher::Crash() {
+  error_code ec;
+  acceptor_.close(ec);
+  for (const std::weak_ptr<Session>& it : sessions_) {
+    if (std::shared_ptr<Session> session = it.lock())
+      session->Close();
+  }
+}
+
+std::string PlatformSearcher::RecordsOf(const std::string& searcher) {
+  std::string body;
+  for (int n = 0; n < kRecords; ++n) {
+    std::string record = std::to_string(n) + "-" + searcher;
+    record.resize(kRecordBytes, '.');
+    body += record;
+  }
+  return body;
+}
+
 }  // namespace jujubecove
--- a/tests/standin/platform_searcher.h
+++ b/tests/standin/platform_searcher.h
@@ -3,14 +3,26 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "discovery/searcher_entry.h"
 #include "kernel/timer_service.h"
 
 namespace jujubecove {
 
+// A request that a searcher began to work on.
+struct SearcherRun {
+  std::string searcher;
+  std::string service;
+  std::string request;
+  std::string method;
+  std::string target;
+  std::string body;
+};
+
 // A searcher that speaks the platform's protocol on the loopback address. It
 // answers every request with records that name it, after its service time.
 class PlatformSearcher {
@@ -20,6 +32,7 @@
                    std::string service,
                    std::string id,
                    std::uint16_t port);
+  ~PlatformSearcher() { Crash(); }
 
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   // Its registration in the store.
@@ -28,7 +41,21 @@
   void set_service_time(Duration time) { state_->service_time = time; }
   // Refuses every request from now on.
   void set_refusing(bool refusing) { state_->refusing = refusing; }
+  // Closes the connection in place of each reply from now on, although the
+  // request ran.
+  void set_losing_replies(bool losing) { state_->losing_replies = losing; }
+  // Callers reach it at this port of the loopback address.
+  void set_advertised_port(std::uint16_t port) { advertised_port_ = port; }
+  void set_observer(std::function<void(const SearcherRun&)> observer) {
+    state_->observer = std::move(observer);
+  }
+  // Ends all connections and accepts none any more.
+  void Crash();
+  const std::string& id() const { return state_->id; }
+  const std::string& service() const { return state_->service; }
   int runs() const { return state_->runs; }
+  // The body of all its replies.
+  static std::string RecordsOf(const std::string& searcher);
 
  private:
   class Session;
@@ -37,6 +64,8 @@
     std::string id;
     Duration service_time = std::chrono::milliseconds(5);
     bool refusing = false;
+    bool losing_replies = false;
+    std::function<void(const SearcherRun&)> observer;
     int runs = 0;
     int heartbeat = 0;
   };
@@ -46,6 +75,8 @@
   TimerService& timers_;
   std::shared_ptr<State> state_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<Session>> sessions_;
+  std::uint16_t advertised_port_ = 0;
 };
 
 }  // namespace jujubecove
