Trust no idle connection to the store after a silent call

When both go silent, the watch on the first one ends after 3.8 s, and the next call took the second one and waited 3.8 s more. A configuration was in force 8 s after its acknowledgement, 3 s allowed.

Change: a call without a reply in time closes the idle connections too. AfterASilentCallNoOtherIdleConnectionIsTrusted failed before.

Daemons now listen below the ephemeral ports.

--- a/src/front/run_front.cc
+++ b/src/front/run_front.cc
@@ -29,7 +29,7 @@
   FrontDaemon daemon(config, path);
   Result<void> started = daemon.Start();
   if (!started) {
-    std::cerr << "jujubecoved: " << started.error().detail << "\n";
+    std::cerr << "jujubecove-front: " << started.error().detail << "\n";
     return kExitStartFailed;
   }
   return daemon.Run();
--- a/src/http/http_caller.cc
+++ b/src/http/http_caller.cc
@@ -22,8 +22,7 @@
       max_reply_bytes_(max_reply_bytes) {}
 
 HttpCaller::~HttpCaller() {
-  for (const std::shared_ptr<ClientConnection>& it : idle_)
-    it->Close();
+  CloseIdle();
   for (const CallPtr& it : calls_) {
     timers_.Cancel(it->timer);
     timers_.Cancel(it->connect_timer);
@@ -61,11 +60,18 @@
   return timers_.ScheduleAfter(delay, [this, weak] {
     if (CallPtr late = weak.lock()) {
       late->connection->Close();
+      CloseIdle();
       End(late, std::nullopt);
     }
   });
 }
 
+void HttpCaller::CloseIdle() {
+  for (const std::shared_ptr<ClientConnection>& it : idle_)
+    it->Close();
+  idle_.clear();
+}
+
 std::shared_ptr<ClientConnection> HttpCaller::TakeIdle() {
   if (idle_.empty())
     return nullptr;
--- a/src/http/http_caller.h
+++ b/src/http/http_caller.h
@@ -48,6 +48,8 @@
   using CallPtr = std::shared_ptr<PendingCall>;
 
   std::shared_ptr<ClientConnection> TakeIdle();
+  // What silenced one connection may have silenced the others.
+  void CloseIdle();
   void Connect(const CallPtr& call);
   TimerId EndAfter(const CallPtr& call, Duration delay);
   void Send(const CallPtr& call);
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -1,5 +1,7 @@
 #include "tests/soak/soak_world.h"
 
+#include <unistd.h>
+
 #include <boost/asio/ip/address_v4.hpp>
 #include <csignal>
 #include <fstream>
@@ -26,12 +28,26 @@
 constexpr Duration kRegistrationOutlives = milliseconds(3600);
 constexpr Duration kReadyTimeout = seconds(10);
 
+// Ports below those that the system gives to outgoing connections, one of which
+// could take a daemon's port while it restarts. Soaks that run beside each
+// other start at different ones.
+constexpr int kFirstPort = 20000;
+constexpr int kPorts = 12000;
+
 SocketAddress FreeAddress() {
+  static int next = static_cast<int>(getpid()) * 64;
   boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor probe(
-      context, boost::asio::ip::tcp::endpoint(
-                   boost::asio::ip::address_v4::loopback(), 0));
-  return SocketAddress{"127.0.0.1", probe.local_endpoint().port()};
+  while (true) {
+    auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    boost::asio::ip::tcp::acceptor probe(context);
+    boost::asio::ip::tcp::endpoint endpoint(
+        boost::asio::ip::address_v4::loopback(), port);
+    boost::system::error_code ec;
+    probe.open(endpoint.protocol(), ec);
+    probe.bind(endpoint, ec);
+    if (!ec)
+      return SocketAddress{"127.0.0.1", port};
+  }
 }
 
 }  // namespace
--- a/tests/unit/platform/kv_client_test.cc
+++ b/tests/unit/platform/kv_client_test.cc
@@ -139,6 +139,28 @@
 // Guards against a watch that waits seconds for a connection to a store that
 // was cut off and is back: on hayabusa's scale-2 a daemon then asked shards of
 // an old configuration for 1 to 3 s longer.
+// Guards against a second connection that went silent together with the first:
+// the call after the time-out waited on it too, and a change of the
+// configuration was in force 8 s late (soak, seed 7).
+TEST_F(KvClientTest, AfterASilentCallNoOtherIdleConnectionIsTrusted) {
+  bool silent = false;
+  Serve([&silent](const std::string&) {
+    return ScriptedServer::Reaction{
+        silent ? "" : Json(200, R"({"items":[],"CurrentRev":9})")};
+  });
+  int done = 0;
+  for (int n = 0; n < 2; ++n)
+    client_->Range("servers/", "", [&done](KvPage) { ++done; });
+  while (done < 2)
+    context_.run_one_for(milliseconds(10));
+  ASSERT_EQ(server_->accepted(), 2);
+  silent = true;
+  EXPECT_EQ(Range().status, KvStatus::kUnknown);
+  silent = false;
+  EXPECT_EQ(Range().status, KvStatus::kOk);
+  EXPECT_EQ(server_->accepted(), 3);
+}
+
 TEST_F(KvClientTest, AWatchDoesNotWaitLongForAConnection) {
   using boost::asio::ip::tcp;
   tcp::acceptor full(context_);
