Let most of the slack of repeats go in a burst

Cause: the spread of repeats cost the grown sites more than today's. A daemon of 35 sees about 4 requests a second for each shard, so most of its budget is its share of the slack, of which a quarter of the window could spend 0.7.

Change: 0.9 of the slack within a quarter of the window, 0.85 of the budget planned in place of 0.9. RestartedFleetTest still holds; with 1.0 of the slack it fails down to a planned share of 0.83 (464 of 460).

--- a/src/dispatch/repeat_budget.cc
+++ b/src/dispatch/repeat_budget.cc
@@ -8,14 +8,14 @@
 // Part of the fleet's bound that the daemons plan to use. The rest covers
 // daemons that were restarted within the window and started to count anew, and
 // daemons that do not know the fleet's size yet.
-constexpr double kUsedShare = 0.9;
+constexpr double kUsedShare = 0.85;
 // A daemon that ends may have spent its budget in a moment, and its successor,
 // which starts to count anew, would spend the budget of the same window again.
 // So within a quarter of the window at most a quarter of what the requests
 // allow is spent, and this part of the slack.
 constexpr std::int64_t kBurstSlices = 5;
 constexpr double kBurstShareOfRatio = 0.25;
-constexpr double kBurstShareOfSlack = 0.7;
+constexpr double kBurstShareOfSlack = 0.9;
 // Part of the budget that hedges leave to retries after a failure.
 constexpr double kRetryReserve = 0.2;
 
