--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,7 +22,8 @@
   static constexpr int kMaxAttempts = 2;
 
   DispatchFixture()
-      : sink_(-1, 1U << 20U),
+      : log_file_(std::tmpfile(), &std::fclose),
+        sink_(fileno(log_file_.get()), 1U << 20U),
         log_(sink_, "vm", 1000),
         dispatcher_(timers_, transport_, log_, registry_, Options(), 1) {}
 
@@ -111,8 +113,20 @@
     return "";
   }
 
+  // The decision log so far.
+  std::string LogText() {
+    sink_.Flush();
+    std::rewind(log_file_.get());
+    std::string text;
+    for (int c = std::fgetc(log_file_.get()); c != EOF;
+         c = std::fgetc(log_file_.get()))
+      text += static_cast<char>(c);
+    return text;
+  }
+
   FakeTimerService timers_;
   FakeSearcherTransport transport_;
+  std::unique_ptr<std::FILE, int (*)(std::FILE*)> log_file_;
   LineSink sink_;
   DecisionLog log_;
   MetricsRegistry registry_;
--- a/tests/unit/dispatch/fake_searcher_transport.h
+++ b/tests/unit/dispatch/fake_searcher_transport.h
@@ -32,8 +32,10 @@
     return pending_.erase(attempt) > 0;
   }
   bool IsWritten(AttemptId attempt) const override {
-    return pending_.contains(attempt);
+    return writes_ && pending_.contains(attempt);
   }
+  // Attempts get no connection from now on.
+  void StopWriting() { writes_ = false; }
   void SetConnectionLimit(const SearcherEntry& searcher, int limit) override {
     limits_[searcher.id.value()] = limit;
   }
@@ -81,6 +83,7 @@
   std::vector<std::string> order_;
   std::map<std::string, int> limits_;
   int cancelled_ = 0;
+  bool writes_ = true;
 };
 
 }  // namespace jujubecove
