--- a/tests/soak/promise_ledger.h
+++ b/tests/soak/promise_ledger.h
@@ -76,6 +76,9 @@
   void OnVersion(int version, TimePoint acknowledged) {
     versions_[version] = acknowledged;
   }
+  int newest_version() const {
+    return versions_.empty() ? 0 : versions_.rbegin()->first;
+  }
   void OnDraining(const std::string& searcher, TimePoint acknowledged) {
     draining_[searcher] = acknowledged;
   }
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/soak_caller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "platform/wire_names.h"
@@ -22,8 +23,6 @@
 
 }  // namespace
 
-int SoakCaller::newest_version_ = 1;
-
 SoakCaller::SoakCaller(boost::asio::io_context& context,
                        TimerService& timers,
                        PromiseLedger& ledger,
@@ -91,7 +90,7 @@
     name = "lookup";
   } else if (choice == 5) {
     ask.kind = AskKind::kVersionProbe;
-    ask.version = newest_version_ - static_cast<int>(random_() % 2);
+    ask.version = ledger_.newest_version() - static_cast<int>(random_() % 2);
     ask.version = std::max(ask.version, 1);
     name = "v" + std::to_string(ask.version);
   }
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -25,8 +25,6 @@
   ~SoakCaller() { Close(); }
 
   void Start() { Next(); }
-  // Version probes ask for versions up to this one.
-  static void set_newest_version(int version) { newest_version_ = version; }
 
  private:
   void Next();
@@ -38,8 +36,6 @@
   void Close();
   void Pause();
 
-  static int newest_version_;
-
   boost::asio::io_context& context_;
   TimerService& timers_;
   PromiseLedger& ledger_;
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -312,7 +312,6 @@
   ++version_;
   store_.store().Set(platform::kConfigKey, Configuration(version_));
   ledger_.OnVersion(version_, timers_.Now());
-  SoakCaller::set_newest_version(version_);
 }
 
 bool SoakWorld::Stop() {
