Count the delay after a change in the time to notice a silent store

A connection that went silent in between was noticed after 4.1 s, 4 s allowed; in a fleet of 30 after 4.8 s.

Change: the watch after a delay waits the shorter for it. TheDelayAfterAChangeShortensTheNextWatch failed before.

--- a/src/discovery/store_mirror.cc
+++ b/src/discovery/store_mirror.cc
@@ -20,6 +20,8 @@
 constexpr Duration kLeastBatchDelay = milliseconds(300);
 constexpr Duration kBatchDelayPerDaemon = milliseconds(30);
 constexpr Duration kLongestBatchDelay = milliseconds(1000);
+// A watch waits at least so long, also when its delay takes most of its time.
+constexpr Duration kLeastWait = milliseconds(200);
 
 const char* ReasonOf(KvStatus status) {
   return status == KvStatus::kRefused ? "refused by the store" : "no answer";
@@ -83,8 +85,12 @@
 }
 
 void StoreMirror::Watch() {
+  WatchFor(watch_wait_);
+}
+
+void StoreMirror::WatchFor(Duration wait) {
   called_at_ = timers_.Now();
-  store_.Watch(prefix_, position_, watch_wait_,
+  store_.Watch(prefix_, position_, wait,
                [this](KvPage page) { OnEvents(std::move(page)); });
 }
 
@@ -103,10 +109,14 @@
   for (const KvItem& it : page.items)
     Apply(it);
   position_ = std::max(position_, page.current);
-  if (page.items.empty())
+  if (page.items.empty()) {
     Watch();
-  else
-    timers_.ScheduleAfter(BatchDelay(), [this] { Watch(); });
+    return;
+  }
+  // The delay is part of the time in which a silent connection is noticed.
+  Duration delay = BatchDelay();
+  Duration wait = std::max(watch_wait_ - delay, kLeastWait);
+  timers_.ScheduleAfter(delay, [this, wait] { WatchFor(wait); });
 }
 
 Duration StoreMirror::BatchDelay() const {
--- a/src/discovery/store_mirror.h
+++ b/src/discovery/store_mirror.h
@@ -58,6 +58,7 @@
   void OnPage(const std::string& after, KvPage page);
   void EndListing();
   void Watch();
+  void WatchFor(Duration wait);
   Duration BatchDelay() const;
   void OnEvents(KvPage page);
   void Apply(const KvItem& item);
--- a/tests/standin/fake_kv_store.cc
+++ b/tests/standin/fake_kv_store.cc
@@ -58,6 +58,7 @@
                         Duration wait,
                         std::function<void(KvPage)> done) {
   ++calls_;
+  watch_wait_ = wait;
   bool lost = watches_lost_after_ > Duration(0);
   if (lost || failure_ != KvStatus::kOk) {
     Duration time = lost ? watches_lost_after_ : kCallTime;
--- a/tests/standin/fake_kv_store.h
+++ b/tests/standin/fake_kv_store.h
@@ -49,6 +49,8 @@
     between_pages_ = std::move(action);
   }
   int calls() const { return calls_; }
+  // How long the latest watch was to wait.
+  Duration watch_wait() const { return watch_wait_; }
   bool Has(const std::string& key) const { return items_.contains(key); }
 
  private:
@@ -73,6 +75,7 @@
   std::int64_t last_lease_ = 0;
   KvStatus failure_ = KvStatus::kOk;
   Duration watches_lost_after_{};
+  Duration watch_wait_{};
   std::size_t page_size_ = 500;
   std::function<void()> between_pages_;
   int calls_ = 0;
--- a/tests/unit/discovery/store_mirror_test.cc
+++ b/tests/unit/discovery/store_mirror_test.cc
@@ -132,6 +132,25 @@
   EXPECT_EQ(recorder_.items_["a"], "1");
 }
 
+// Guards against a delay between two watches that is not part of the time in
+// which a silent connection is noticed: it took 4.1 s, 4 s allowed (soak, seed
+// 21), and up to a second longer in a large fleet.
+TEST_F(StoreMirrorTest, TheDelayAfterAChangeShortensTheNextWatch) {
+  mirror_.Start();
+  timers_.AdvanceBy(milliseconds(100));
+  EXPECT_EQ(store_.watch_wait(), milliseconds(2500));
+  mirror_.set_fleet_size(30);
+  store_.Set("a", "1");
+  int calls = store_.calls();
+  TimePoint changed = timers_.Now();
+  while (store_.calls() == calls)
+    timers_.AdvanceBy(milliseconds(10));
+  EXPECT_LE(timers_.Now() - changed + store_.watch_wait(), milliseconds(2520));
+  // A quiet store is watched as long as before.
+  timers_.AdvanceBy(milliseconds(2600));
+  EXPECT_EQ(store_.watch_wait(), milliseconds(2500));
+}
+
 TEST_F(StoreMirrorTest, ABurstOfChangesTakesFewCalls) {
   mirror_.Start();
   timers_.AdvanceBy(milliseconds(100));
