--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -28,14 +28,13 @@
   options.program = FLAGS_program;
   options.directory = FLAGS_directory;
   options.seed = FLAGS_seed;
-  options.faults_for = seconds(FLAGS_seconds);
   options.daemons = FLAGS_daemons;
   SoakWorld world(options);
   if (!world.Start()) {
     std::cout << "the daemons did not become ready\n";
     return 1;
   }
-  FaultSchedule(world, FLAGS_seed).RunFor(options.faults_for);
+  FaultSchedule(world, FLAGS_seed).RunFor(seconds(FLAGS_seconds));
   world.RunFor(kRecovery);
   PromiseLedger& ledger = world.ledger();
   ledger.StartCounting();
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -251,22 +251,22 @@
 }
 
 void SoakWorld::RefuseAtSearcher(std::size_t searcher, Duration time) {
-  searchers_[searcher].server->set_refusing(true);
-  std::string id = searchers_[searcher].server->id();
-  timers_.ScheduleAfter(time, [this, searcher, id] {
-    PlatformSearcher* server = searchers_[searcher].server.get();
-    if (server != nullptr && server->id() == id)
-      server->set_refusing(false);
-  });
+  SwitchFor(searcher, time, &PlatformSearcher::set_refusing);
 }
 
 void SoakWorld::LoseRepliesOfSearcher(std::size_t searcher, Duration time) {
-  searchers_[searcher].server->set_losing_replies(true);
-  std::string id = searchers_[searcher].server->id();
-  timers_.ScheduleAfter(time, [this, searcher, id] {
-    PlatformSearcher* server = searchers_[searcher].server.get();
-    if (server != nullptr && server->id() == id)
-      server->set_losing_replies(false);
+  SwitchFor(searcher, time, &PlatformSearcher::set_losing_replies);
+}
+
+void SoakWorld::SwitchFor(std::size_t searcher,
+                          Duration time,
+                          void (PlatformSearcher::*set)(bool)) {
+  PlatformSearcher& server = *searchers_[searcher].server;
+  (server.*set)(true);
+  timers_.ScheduleAfter(time, [this, searcher, set, id = server.id()] {
+    PlatformSearcher* current = searchers_[searcher].server.get();
+    if (current != nullptr && current->id() == id)
+      (current->*set)(false);
   });
 }
 
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -21,7 +21,6 @@
   // Settings and logs of the daemons.
   std::string directory;
   std::uint64_t seed = 1;
-  Duration faults_for = std::chrono::seconds(15);
   int daemons = 3;
   int callers = 6;
 };
@@ -89,6 +88,10 @@
   void AddDaemon(int n, const SoakOptions& options);
   void AddSearcher(const std::string& service);
   void StartServer(Searcher& searcher, const std::string& service);
+  // Sets a fault of the server for that time, unless it is replaced meanwhile.
+  void SwitchFor(std::size_t searcher,
+                 Duration time,
+                 void (PlatformSearcher::*set)(bool));
   void StartProcess(std::size_t daemon);
   void WatchProcesses();
   void OnExit(std::size_t daemon, int code);
