Survive chunked requests in pieces and answer what waits when listening ends

Cause: Beast of Boost 1.81 asserts that 5 bytes are buffered when the last chunk of a body arrives in pieces; a caller that sent "0\r\n", "\r" and "\n" apart ended the whole process (ingress_test on the old code: aborted at basic_parser.ipp:702). Chunk extensions and trailers had no bound but the header timeout. At a planned stop the listening socket was closed with connections in its queue, which were reset, and a connection whose request had arrived but was not parsed counted as idle and was closed.

Change: the parser gets a chunked body only with at least 5 bytes, which every such body ends with; a part that the parser takes as a whole is rejected beyond the header limit; queued connections are accepted before the listening socket closes; idle connections are closed after pending handlers have run.

Result: AcceptsChunkedBodyInPieces (aborted before), RejectsEndlessPartsOfChunkedBody, ServesConnectionsThatWaitWhenListeningEnds and CloseIdleSparesConnectionsWithUnreadRequests failed and pass.

--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/status.hpp>
 #include <utility>
 
+#include "http/parser_input.h"
+
 namespace jujubecove {
 namespace {
 
@@ -14,6 +16,9 @@
 
 // Bytes of pipelined requests that are buffered while one runs.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
+// Room for the parts that a parser takes as a whole: the header, the head of a
+// chunk with its extensions, and the trailers.
+constexpr std::size_t kUnparsedReserve = 4096;
 // Time for the caller to close after the last answer of a connection.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -87,12 +92,23 @@
   last_progress_ = timers_.Now();
   if (state_ == State::kReading)
     ParseBuffered();
+  if (state_ == State::kReading &&
+      buffer_.size() > host_.limits().max_header_bytes + kUnparsedReserve) {
+    Reject(ErrorKind::kHeaderTooLarge, "a part of the request is too long");
+    return;
+  }
   // A caller that pipelines too much is not read from until its answer has
   // been written.
-  if (state_ != State::kClosed && buffer_.size() < kMaxPipelinedBytes)
+  if (state_ == State::kReading ||
+      (state_ != State::kClosed && buffer_.size() < kMaxPipelinedBytes))
     Read();
 }
 
+bool IngressConnection::HasUnreadBytes() const {
+  error_code ec;
+  return socket_.available(ec) > 0 && !ec;
+}
+
 void IngressConnection::ParseBuffered() {
   while (state_ == State::kReading && buffer_.size() > 0) {
     if (!ParseStep())
@@ -115,6 +131,8 @@
 bool IngressConnection::ParseStep() {
   if (!parser_)
     StartParser();
+  if (!CanParse(*parser_, buffer_.size()))
+    return false;
   bool had_header = parser_->is_header_done();
   error_code ec;
   std::size_t used = parser_->put(buffer_.data(), ec);
--- a/src/ingress/ingress_connection.h
+++ b/src/ingress/ingress_connection.h
@@ -30,9 +30,10 @@
 
   void Start();
   void Close();
-  // Whether the connection waits for a request and has read no part of one.
+  // Whether the connection waits for a request and no part of one has arrived.
   bool IsIdle() const {
-    return state_ == State::kReading && !parser_ && buffer_.size() == 0;
+    return state_ == State::kReading && !parser_ && buffer_.size() == 0 &&
+           !HasUnreadBytes();
   }
   // Whether the connection waits for the caller to send or to close.
   bool IsWaitingForCaller() const {
@@ -49,6 +50,8 @@
 
   void Read();
   void OnRead(const boost::system::error_code& ec, std::size_t size);
+  // Whether bytes have arrived that were not read yet.
+  bool HasUnreadBytes() const;
   void ParseBuffered();
   // Parses buffered bytes. Returns false if more bytes are needed or the
   // request was rejected.
--- a/src/ingress/ingress_server.cc
+++ b/src/ingress/ingress_server.cc
@@ -1,5 +1,6 @@
 #include "ingress/ingress_server.h"
 
+#include <boost/asio/post.hpp>
 #include <utility>
 #include <vector>
 
@@ -90,7 +91,23 @@
     oldest->Close();
 }
 
+// Closing the listening socket would reset the connections in its queue,
+// although their callers may have sent a request.
+void IngressServer::AcceptQueued() {
+  error_code ec;
+  acceptor_.non_blocking(true, ec);
+  for (std::size_t n = 0; n < max_connections_ && !ec; ++n) {
+    tcp::socket socket(context_);
+    acceptor_.accept(socket, ec);
+    if (!ec)
+      Add(std::move(socket));
+  }
+}
+
 void IngressServer::StopAccepting() {
+  if (!acceptor_.is_open())
+    return;
+  AcceptQueued();
   error_code ignored;
   acceptor_.close(ignored);
 }
@@ -102,8 +119,14 @@
     if (it->IsIdle() && now - it->idle_since() >= idle)
       expired.push_back(it);
   }
-  for (const std::shared_ptr<IngressConnection>& it : expired)
-    it->Close();
+  // A request may have been read already by an operation whose handler waits to
+  // run, so the connections are checked again after such handlers.
+  boost::asio::post(context_, [expired = std::move(expired)] {
+    for (const std::shared_ptr<IngressConnection>& it : expired) {
+      if (it->IsIdle())
+        it->Close();
+    }
+  });
 }
 
 void IngressServer::CheckTimeouts() {
--- a/src/ingress/ingress_server.h
+++ b/src/ingress/ingress_server.h
@@ -21,14 +21,17 @@
                 std::size_t max_connections);
 
   Result<void> Listen(const SocketAddress& address);
-  // Closes the listening socket.
+  // Closes the listening socket, after the connections that wait in its queue
+  // were accepted.
   void StopAccepting();
-  // Closes connections that have been idle for at least `idle`.
+  // Closes connections that have been idle for at least `idle`, after pending
+  // handlers have run.
   void CloseIdle(Duration idle);
   std::size_t connections() const { return connections_.size(); }
 
  private:
   void Accept();
+  void AcceptQueued();
   void Add(boost::asio::ip::tcp::socket socket);
   void CheckTimeouts();
   // Closes the connection that has waited longest for its caller, to make room
--- a/tests/unit/ingress/ingress_server_test.cc
+++ b/tests/unit/ingress/ingress_server_test.cc
@@ -262,5 +262,84 @@
   EXPECT_NE(ReadAll(client_).find("ok /1"), std::string::npos);
 }
 
+// Beast of Boost 1.81 aborts when the last chunk arrives in some pieces: one
+// caller could end the whole process.
+TEST_F(IngressServerTest, AcceptsChunkedBodyInPieces) {
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  Write(head + "0\r\n");
+  Write("\r");
+  Write("\n");
+  EXPECT_NE(ReadAll(client_).find("200"), std::string::npos);
+  error_code ignored;
+  for (char c : head + "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n") {
+    boost::asio::write(client_, boost::asio::buffer(&c, 1), ignored);
+    RunFor(milliseconds(1));
+  }
+  RunFor(milliseconds(20));
+  EXPECT_NE(ReadAll(client_).find("200"), std::string::npos);
+  ASSERT_EQ(host_.requests_.size(), 2U);
+  EXPECT_EQ(*host_.requests_[1]->body, "abcde");
+}
+
+// Parts of a chunked body that the parser takes as a whole must not fill the
+// memory.
+TEST_F(IngressServerTest, RejectsEndlessPartsOfChunkedBody) {
+  for (const char* begin : {"4;", "0\r\n", "000"}) {
+    tcp::socket client(context_);
+    Connect(client);
+    error_code ignored;
+    boost::asio::write(
+        client,
+        boost::asio::buffer("POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n" +
+                            std::string(begin)),
+        ignored);
+    std::string part = begin == std::string("0\r\n") ? "X: y\r\n" : "0000000";
+    for (int n = 0; n < 2000; ++n) {
+      boost::asio::write(client, boost::asio::buffer(part), ignored);
+      if (n % 100 == 0)
+        RunFor(milliseconds(2));
+    }
+    RunFor(milliseconds(20));
+    EXPECT_NE(ReadAll(client).find("431"), std::string::npos) << begin;
+  }
+  EXPECT_TRUE(host_.requests_.empty());
+}
+
+// Connections that were established before the listening socket is closed must
+// be served, also if they were not accepted yet or sent no request yet.
+TEST_F(IngressServerTest, ServesConnectionsThatWaitWhenListeningEnds) {
+  constexpr std::size_t kWaiting = 2;
+  std::vector<tcp::socket> clients;
+  for (std::size_t n = 0; n < kWaiting; ++n) {
+    clients.emplace_back(context_);
+    clients[n].connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                     address_.port));
+    clients[n].non_blocking(true);
+  }
+  error_code ignored;
+  boost::asio::write(clients[0], boost::asio::buffer(Get("/queued")), ignored);
+  host_.draining_ = true;
+  server_.StopAccepting();
+  server_.CloseIdle(Duration(0));
+  RunFor(milliseconds(20));
+  EXPECT_NE(ReadAll(clients[0]).find("ok /queued"), std::string::npos);
+}
+
+// A request whose bytes have arrived, but were not read yet, must be answered
+// when idle connections are closed.
+TEST_F(IngressServerTest, CloseIdleSparesConnectionsWithUnreadRequests) {
+  Write(Get("/a"));
+  ReadAll(client_);
+  host_.draining_ = true;
+  error_code ignored;
+  boost::asio::write(client_, boost::asio::buffer(Get("/b")), ignored);
+  server_.CloseIdle(Duration(0));
+  RunFor(milliseconds(20));
+  EXPECT_NE(ReadAll(client_).find("ok /b"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace jujubecove
