Decode every number of the store in one place, with its range

Cause: a double out of the range of int64 was cast, which is undefined and differs between arm64 and x86-64; int64 values were narrowed to int. Registrations with Slots, Sequence or WarmupLeftMs of 1e300 and with port 0 were taken in, ids with line breaks would have become header fields, and a page without a readable revision was followed by the same page again.

Change: FieldReader reads each field with its range and names the first bad one; doubles count as integers up to 2^53. An odd registration names no searcher, an odd configuration does not take effect, a page from which the next call can't go on counts as no answer.

--- a/src/platform/json_codec.cc
+++ b/src/platform/json_codec.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/json/parse.hpp>
 #include <cctype>
@@ -17,6 +18,95 @@
 
 }  // namespace
 
+std::int64_t FieldReader::Integer(std::string_view name,
+                                  FieldRange<std::int64_t> range) {
+  if (Find(name) == nullptr)
+    Fail(name);
+  return OptionalInteger(name, range, range.min);
+}
+
+std::int64_t FieldReader::OptionalInteger(std::string_view name,
+                                          FieldRange<std::int64_t> range,
+                                          std::int64_t fallback) {
+  const boost::json::value* value = Find(name);
+  if (value == nullptr)
+    return fallback;
+  std::optional<std::int64_t> number = ToInteger(*value);
+  if (number && *number >= range.min && *number <= range.max)
+    return *number;
+  Fail(name);
+  return fallback;
+}
+
+double FieldReader::OptionalNumber(std::string_view name,
+                                   FieldRange<double> range,
+                                   double fallback) {
+  const boost::json::value* value = Find(name);
+  if (value == nullptr)
+    return fallback;
+  if (value->is_number()) {
+    double number = value->to_number<double>();
+    if (number >= range.min && number <= range.max)
+      return number;
+  }
+  Fail(name);
+  return fallback;
+}
+
+std::string FieldReader::Text(std::string_view name, std::size_t max_size) {
+  if (Find(name) == nullptr)
+    Fail(name);
+  return OptionalText(name, max_size, "");
+}
+
+std::string FieldReader::OptionalText(std::string_view name,
+                                      std::size_t max_size,
+                                      const std::string& fallback) {
+  const boost::json::value* value = Find(name);
+  if (value == nullptr)
+    return fallback;
+  if (value->is_string() && value->get_string().size() <= max_size) {
+    std::string text(value->get_string());
+    bool printable = std::none_of(text.begin(), text.end(), [](char c) {
+      return std::iscntrl(static_cast<unsigned char>(c)) != 0;
+    });
+    if (printable)
+      return text;
+  }
+  Fail(name);
+  return fallback;
+}
+
+const boost::json::value* FieldReader::Find(std::string_view name) const {
+  const boost::json::value* value = object_.if_contains(name);
+  return value == nullptr || value->is_null() ? nullptr : value;
+}
+
+void FieldReader::Fail(std::string_view name) {
+  if (error_.empty())
+    error_ = "the field " + std::string(name) + " is missing or invalid";
+}
+
+std::optional<std::int64_t> ToInteger(const boost::json::value& value) {
+  if (value.is_int64())
+    return value.get_int64();
+  if (!value.is_double())
+    return std::nullopt;
+  // Up to here a double holds every integer exactly, and the conversion is
+  // defined.
+  constexpr double kMaxExact = 9007199254740992.0;
+  double number = value.get_double();
+  if (!(std::abs(number) <= kMaxExact) || std::floor(number) != number)
+    return std::nullopt;
+  return static_cast<std::int64_t>(number);
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c > ' ' && c <= '~';
+  });
+}
+
 std::optional<std::string> StringField(const boost::json::object& object,
                                        std::string_view name) {
   const boost::json::value* value = object.if_contains(name);
@@ -28,23 +118,7 @@
 std::optional<std::int64_t> IntegerField(const boost::json::object& object,
                                          std::string_view name) {
   const boost::json::value* value = object.if_contains(name);
-  if (value == nullptr)
-    return std::nullopt;
-  if (value->is_int64())
-    return value->get_int64();
-  // Some writers encode integers with a zero fraction, such as 4.0.
-  if (value->is_double() &&
-      std::floor(value->get_double()) == value->get_double())
-    return static_cast<std::int64_t>(value->get_double());
-  return std::nullopt;
-}
-
-std::optional<double> NumberField(const boost::json::object& object,
-                                  std::string_view name) {
-  const boost::json::value* value = object.if_contains(name);
-  if (value == nullptr || !value->is_number())
-    return std::nullopt;
-  return value->to_number<double>();
+  return value == nullptr ? std::nullopt : ToInteger(*value);
 }
 
 std::optional<boost::json::object> ParseObject(std::string_view text) {
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -42,7 +42,7 @@
   const json::object& object = value.get_object();
   std::optional<std::string> key = StringField(object, "Key");
   std::optional<std::int64_t> revision = IntegerField(object, "Revision");
-  if (!key || !revision)
+  if (!key || !revision || *revision < 0)
     return std::nullopt;
   KvItem item;
   item.key = *key;
@@ -83,8 +83,15 @@
   }
   const json::value* more = object->if_contains("HasMore");
   page.has_more = more != nullptr && more->is_bool() && more->get_bool();
-  page.current_revision =
-      StoreRevision(IntegerField(*object, "CurrentRev").value_or(0));
+  std::optional<std::int64_t> revision = IntegerField(*object, "CurrentRev");
+  // The next call could not go on from such a page.
+  if (!revision || *revision < 0 || (page.has_more && page.items.empty())) {
+    JJ_LOG(kStore, WARNING) << "the store sent a page without a revision or "
+                               "without readable items";
+    page.status = KvStatus::kUnknown;
+    return page;
+  }
+  page.current_revision = StoreRevision(*revision);
   return page;
 }
 
--- a/src/platform/registration_codec.cc
+++ b/src/platform/registration_codec.cc
@@ -17,13 +17,43 @@
   return Error{ErrorKind::kBadRequest, what};
 }
 
+// The ranges exclude values that no writer of the protocol sends and that the
+// code could not compute with.
+constexpr std::size_t kMaxNameBytes = 512;
+constexpr std::int64_t kMaxDurationMs = 24LL * 3600 * 1000;
+constexpr std::int64_t kMaxCount = 1'000'000;
+constexpr std::int64_t kMaxBytes = 1LL << 30U;
+// Larger integers are not exact in all encoders of JSON.
+constexpr std::int64_t kMaxExactInteger = 1LL << 53U;
+constexpr double kMaxWeight = 1e9;
+
 const json::array* ArrayField(const json::object& object,
                               std::string_view name) {
   const json::value* value = object.if_contains(name);
   return value != nullptr && value->is_array() ? &value->get_array() : nullptr;
 }
 
-std::optional<ScatterSpec> DecodeScatter(const json::object& object) {
+Duration DurationField(FieldReader& reader,
+                       std::string_view name,
+                       Duration fallback) {
+  return milliseconds(reader.OptionalInteger(name, {1, kMaxDurationMs},
+                                             fallback / milliseconds(1)));
+}
+
+std::size_t SizeField(FieldReader& reader,
+                      std::string_view name,
+                      std::size_t fallback) {
+  return static_cast<std::size_t>(reader.OptionalInteger(
+      name, {0, kMaxBytes}, static_cast<std::int64_t>(fallback)));
+}
+
+int CountField(FieldReader& reader, std::string_view name, int fallback) {
+  return static_cast<int>(
+      reader.OptionalInteger(name, {0, kMaxCount}, fallback));
+}
+
+std::optional<ScatterSpec> DecodeScatter(const json::object& object,
+                                         FieldReader& reader) {
   const json::array* shards = ArrayField(object, "Gather");
   if (shards == nullptr)
     return std::nullopt;
@@ -31,73 +61,83 @@
   for (const json::value& it : *shards) {
     if (it.is_string())
       spec.shards.emplace_back(std::string(it.get_string()));
+    else
+      reader.Fail("Gather");
   }
-  spec.top_records =
-      static_cast<std::size_t>(IntegerField(object, "TopK").value_or(0));
-  spec.min_shard_share = NumberField(object, "MinShardShare").value_or(1.0);
+  spec.top_records = static_cast<std::size_t>(
+      reader.OptionalInteger("TopK", {0, kMaxCount}, 0));
+  spec.min_shard_share =
+      reader.OptionalNumber("MinShardShare", {0.0, 1.0}, 1.0);
   return spec;
 }
 
-std::vector<WeightedService> DecodeSplit(const json::object& object) {
-  std::vector<WeightedService> split;
-  if (std::optional<std::string> service = StringField(object, "Service"))
-    split.push_back({ServiceName(*service), 1.0});
+std::vector<WeightedService> DecodeSplit(const json::object& object,
+                                         FieldReader& reader) {
   const json::array* parts = ArrayField(object, "TrafficSplit");
-  if (parts == nullptr)
+  std::vector<WeightedService> split;
+  if (parts == nullptr) {
+    std::string service = reader.OptionalText("Service", kMaxNameBytes, "");
+    if (!service.empty())
+      split.push_back({ServiceName(service), 1.0});
     return split;
-  split.clear();
+  }
   for (const json::value& it : *parts) {
-    if (!it.is_object())
+    if (!it.is_object()) {
+      reader.Fail("TrafficSplit");
       continue;
-    std::optional<std::string> service =
-        StringField(it.get_object(), "Service");
-    double weight = NumberField(it.get_object(), "Weight").value_or(0.0);
-    if (service && weight > 0.0)
-      split.push_back({ServiceName(*service), weight});
+    }
+    FieldReader part(it.get_object());
+    std::string service = part.Text("Service", kMaxNameBytes);
+    double weight = part.OptionalNumber("Weight", {0.0, kMaxWeight}, 0.0);
+    if (!part.error().empty())
+      reader.Fail("TrafficSplit");
+    else if (weight > 0.0)
+      split.push_back({ServiceName(service), weight});
   }
   return split;
 }
 
-std::optional<Route> DecodeRoute(const json::object& object) {
-  std::optional<std::string> host = StringField(object, "Host");
-  std::optional<std::string> prefix = StringField(object, "Prefix");
-  if (!host || !prefix)
-    return std::nullopt;
+Route DecodeRoute(const json::object& object, FieldReader& reader) {
   Route route;
-  route.name = StringField(object, "Name").value_or(*host + *prefix);
-  route.host = *host;
-  route.prefix = *prefix;
-  route.scatter = DecodeScatter(object);
+  route.host = reader.Text("Host", kMaxNameBytes);
+  route.prefix = reader.Text("Prefix", kMaxNameBytes);
+  route.name =
+      reader.OptionalText("Name", kMaxNameBytes, route.host + route.prefix);
+  route.scatter = DecodeScatter(object, reader);
   // A request runs at most once unless its route scatters or is declared
   // idempotent.
-  route.idempotent = route.scatter.has_value() ||
-                     StringField(object, "Kind").value_or("") == "idempotent";
-  constexpr std::int64_t kDefaultTimeoutMs = 10000;
-  std::int64_t timeout =
-      IntegerField(object, "TimeoutMs").value_or(kDefaultTimeoutMs);
-  route.timeout = milliseconds(timeout);
+  route.idempotent =
+      route.scatter.has_value() ||
+      reader.OptionalText("Kind", kMaxNameBytes, "") == "idempotent";
+  constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
+  route.timeout = DurationField(reader, "TimeoutMs", kDefaultTimeout);
   route.target_latency =
-      milliseconds(IntegerField(object, "TargetLatencyMs").value_or(timeout));
-  route.urgency =
-      static_cast<int>(IntegerField(object, "Priority").value_or(0));
-  route.max_attempts =
-      static_cast<int>(IntegerField(object, "MaxAttempts").value_or(1));
-  route.split = DecodeSplit(object);
+      DurationField(reader, "TargetLatencyMs", route.timeout);
+  route.urgency = CountField(reader, "Priority", 0);
+  route.max_attempts = CountField(reader, "MaxAttempts", 1);
+  route.split = DecodeSplit(object, reader);
   if (!route.scatter && route.split.empty())
-    return std::nullopt;
+    reader.Fail("Service");
   return route;
 }
 
-IngressLimits DecodeLimits(const json::object& object) {
+ServiceConfig DecodeService(FieldReader& reader) {
+  ServiceConfig service;
+  service.name = ServiceName(reader.OptionalText("Name", kMaxNameBytes, ""));
+  service.max_connections = CountField(reader, "MaxConnections", 1);
+  return service;
+}
+
+IngressLimits DecodeLimits(FieldReader& reader) {
   IngressLimits limits;
-  if (std::optional<std::int64_t> n = IntegerField(object, "MaxHeaderBytes"))
-    limits.max_header_bytes = static_cast<std::size_t>(*n);
-  if (std::optional<std::int64_t> n = IntegerField(object, "MaxBodyBytes"))
-    limits.max_body_bytes = static_cast<std::size_t>(*n);
-  if (std::optional<std::int64_t> n = IntegerField(object, "HeaderTimeoutMs"))
-    limits.header_timeout = milliseconds(*n);
-  if (std::optional<std::int64_t> n = IntegerField(object, "IdleTimeoutMs"))
-    limits.idle_timeout = milliseconds(*n);
+  limits.max_header_bytes =
+      SizeField(reader, "MaxHeaderBytes", limits.max_header_bytes);
+  limits.max_body_bytes =
+      SizeField(reader, "MaxBodyBytes", limits.max_body_bytes);
+  limits.header_timeout =
+      DurationField(reader, "HeaderTimeoutMs", limits.header_timeout);
+  limits.idle_timeout =
+      DurationField(reader, "IdleTimeoutMs", limits.idle_timeout);
   return limits;
 }
 
@@ -113,33 +153,40 @@
   std::optional<json::object> object = ParseObject(value);
   if (!object)
     return BadRequest("the configuration is not a JSON object");
-  std::optional<std::int64_t> version = IntegerField(*object, "Version");
-  const json::array* routes = ArrayField(*object, "Routes");
-  if (!version || routes == nullptr)
-    return BadRequest("the configuration has no version or no routes");
+  FieldReader reader(*object);
   ServingConfig config;
-  config.version = ConfigVersion(static_cast<std::uint64_t>(*version));
+  config.version = ConfigVersion(static_cast<std::uint64_t>(
+      reader.Integer("Version", {0, kMaxExactInteger})));
+  const json::array* routes = ArrayField(*object, "Routes");
+  if (routes == nullptr)
+    reader.Fail("Routes");
+  if (!reader.error().empty())
+    return BadRequest(reader.error());
   for (const json::value& it : *routes) {
-    std::optional<Route> route =
-        it.is_object() ? DecodeRoute(it.get_object()) : std::nullopt;
-    if (!route)
-      return BadRequest("the configuration has a malformed route");
-    config.routes.push_back(std::move(*route));
+    if (!it.is_object())
+      return BadRequest("a route is not a JSON object");
+    FieldReader fields(it.get_object());
+    config.routes.push_back(DecodeRoute(it.get_object(), fields));
+    if (!fields.error().empty())
+      return BadRequest("a route is malformed: " + fields.error());
   }
   if (const json::array* services = ArrayField(*object, "Services")) {
     for (const json::value& it : *services) {
       if (!it.is_object())
         continue;
-      const json::object& fields = it.get_object();
-      config.services.push_back(ServiceConfig{
-          ServiceName(StringField(fields, "Name").value_or("")),
-          static_cast<int>(
-              IntegerField(fields, "MaxConnections").value_or(1))});
+      FieldReader fields(it.get_object());
+      config.services.push_back(DecodeService(fields));
+      if (!fields.error().empty())
+        return BadRequest("a service is malformed: " + fields.error());
     }
   }
   const json::value* limits = object->if_contains("Limits");
-  if (limits != nullptr && limits->is_object())
-    config.limits = DecodeLimits(limits->get_object());
+  if (limits != nullptr && limits->is_object()) {
+    FieldReader fields(limits->get_object());
+    config.limits = DecodeLimits(fields);
+    if (!fields.error().empty())
+      return BadRequest("the limits are malformed: " + fields.error());
+  }
   return config;
 }
 
@@ -149,29 +196,32 @@
   std::optional<json::object> object = ParseObject(value);
   if (!object)
     return BadRequest("the registration is not a JSON object");
-  std::optional<std::string> service = StringField(*object, "Service");
-  std::optional<std::string> address = StringField(*object, "Address");
-  std::optional<std::string> zone = StringField(*object, "Zone");
-  std::optional<std::string> state = StringField(*object, "State");
-  std::optional<std::int64_t> slots = IntegerField(*object, "Slots");
-  std::optional<std::int64_t> heartbeat = IntegerField(*object, "Sequence");
-  if (!service || !address || !zone || !state || !slots || !heartbeat)
-    return BadRequest("the registration lacks a field");
-  std::optional<SocketAddress> socket = SocketAddress::Parse(*address);
-  if (!socket || *slots < 1 || (*state != "ready" && *state != "draining"))
-    return BadRequest("the registration has an invalid field");
+  // The id is sent to the searcher in a header field.
+  if (!IsToken(id.value()))
+    return BadRequest("the id of the registration has invalid characters");
+  FieldReader reader(*object);
   SearcherEntry entry;
   entry.id = id;
-  entry.service = ServiceName(*service);
-  entry.address = *socket;
-  entry.zone = ZoneName(*zone);
-  entry.slots = static_cast<int>(*slots);
+  entry.service = ServiceName(reader.Text("Service", kMaxNameBytes));
+  std::optional<SocketAddress> address =
+      SocketAddress::Parse(reader.Text("Address", kMaxNameBytes));
+  if (!address || address->port == 0)
+    reader.Fail("Address");
+  else
+    entry.address = *address;
+  entry.zone = ZoneName(reader.Text("Zone", kMaxNameBytes));
+  entry.slots = static_cast<int>(reader.Integer("Slots", {1, kMaxCount}));
+  std::string state = reader.Text("State", kMaxNameBytes);
+  if (state != "ready" && state != "draining")
+    reader.Fail("State");
   entry.state =
-      *state == "ready" ? SearcherState::kReady : SearcherState::kDraining;
-  entry.warmup_left =
-      milliseconds(IntegerField(*object, "WarmupLeftMs").value_or(0));
-  entry.started_ms = IntegerField(*object, "born").value_or(0);
-  entry.heartbeat = *heartbeat;
+      state == "ready" ? SearcherState::kReady : SearcherState::kDraining;
+  entry.warmup_left = milliseconds(
+      reader.OptionalInteger("WarmupLeftMs", {0, kMaxDurationMs}, 0));
+  entry.started_ms = reader.OptionalInteger("born", {0, kMaxExactInteger}, 0);
+  entry.heartbeat = reader.Integer("Sequence", {0, kMaxExactInteger});
+  if (!reader.error().empty())
+    return BadRequest(reader.error());
   return entry;
 }
 
--- a/tests/unit/platform/kv_client_test.cc
+++ b/tests/unit/platform/kv_client_test.cc
@@ -197,5 +197,41 @@
   EXPECT_FALSE(DecodeBase64("a!=="));
 }
 
+// A page from which the next call can't go on must count as no answer; a
+// listing that ended there would lose the other items.
+TEST_F(KvClientTest, RefusesPagesWithoutUsableRevisionOrItems) {
+  for (const char* body :
+       {R"({"items":[],"HasMore":false})",
+        R"({"items":[],"HasMore":false,"CurrentRev":"9"})",
+        R"({"items":[],"HasMore":false,"CurrentRev":1e300})",
+        R"({"items":[],"HasMore":false,"CurrentRev":-1})",
+        R"({"items":[],"HasMore":true,"CurrentRev":9})",
+        R"({"items":[{"Key":"k","Revision":1e300,"Value":""}],)"
+        R"("HasMore":true,"CurrentRev":9})"}) {
+    Serve([body](const std::string&) {
+      return ScriptedServer::Reaction{Json(200, body)};
+    });
+    EXPECT_EQ(Range().status, KvStatus::kUnknown) << body;
+  }
+}
+
+// One odd item must not hide the others.
+TEST_F(KvClientTest, SkipsOddItems) {
+  Serve([](const std::string&) {
+    return ScriptedServer::Reaction{
+        Json(200, R"({"items":[{"Key":"a","Value":"aGk=","Revision":1e300},)"
+                  R"({"Key":"b","Value":"aGk=","Revision":-4},)"
+                  R"({"Key":7,"Value":"aGk=","Revision":4},[],null,)"
+                  R"({"Key":"c","Value":"!","Revision":4},)"
+                  R"({"Key":"d","Value":"aGk=","Revision":5}],)"
+                  R"("HasMore":true,"CurrentRev":9})")};
+  });
+  KvPage page = Range();
+  ASSERT_EQ(page.status, KvStatus::kOk);
+  ASSERT_EQ(page.items.size(), 2U);
+  EXPECT_EQ(page.items[0].key, "c");
+  EXPECT_EQ(page.items[1].value, "hi");
+}
+
 }  // namespace
 }  // namespace jujubecove::platform
--- a/tests/unit/platform/registration_codec_test.cc
+++ b/tests/unit/platform/registration_codec_test.cc
@@ -105,10 +105,97 @@
         RegistrationCase{
             "TextForNumber",
             Entry("ready", R"("Address":"10.0.0.1:80","Sequence":"4")"), false},
+        RegistrationCase{
+            "PortZero",
+            Entry("ready", R"("Address":"10.0.0.1:0","Sequence":4)"), false},
+        RegistrationCase{
+            "PortOutOfRange",
+            Entry("ready", R"("Address":"10.0.0.1:65536","Sequence":4)"),
+            false},
         RegistrationCase{"NotJson", "\xff\xfe", false},
         RegistrationCase{"Empty", "", false}),
     [](const auto& info) { return info.param.name; });
 
+// Numbers that the code can't compute with must be refused, by the name of
+// their field, on every kind of machine alike.
+TEST(SearcherRegistrationFieldsTest, RefusesNumbersOutOfRange) {
+  PlatformRegistrationCodec codec;
+  for (const char* field : {"Slots", "Sequence", "WarmupLeftMs", "born"}) {
+    for (const char* number :
+         {"1e300", "-1e300", "1e400", "4294967296000000000", "-1", "1.5",
+          "9223372036854775807", "9223372036854775808", "1e19", "\"4\"", "[4]",
+          "{}", "true"}) {
+      std::string text = R"({"Service":"a","Zone":"z","State":"ready",)"
+                         R"("Address":"10.0.0.1:80","Slots":2,"Sequence":4,)"
+                         R"("WarmupLeftMs":100,"born":12,")" +
+                         std::string(field) + "\":" + number + "}";
+      Result<SearcherEntry> entry =
+          codec.DecodeSearcher(InstanceId("i-1"), text);
+      ASSERT_FALSE(entry) << text;
+      // 1e400 is not a number for the JSON parser.
+      bool names_field = entry.error().detail.find(field) != std::string::npos;
+      EXPECT_TRUE(names_field || number == std::string_view("1e400")) << text;
+    }
+  }
+}
+
+TEST(SearcherRegistrationFieldsTest, RefusesLargeNumberOfSlots) {
+  PlatformRegistrationCodec codec;
+  for (const char* slots : {"0", "4294967296", "4294967298", "2147483648"}) {
+    EXPECT_FALSE(codec.DecodeSearcher(
+        InstanceId("i-1"),
+        R"({"Service":"a","Zone":"z","State":"ready","Address":"10.0.0.1:80",)"
+        R"("Sequence":4,"Slots":)" +
+            std::string(slots) + "}"))
+        << slots;
+  }
+}
+
+TEST(SearcherRegistrationFieldsTest, RefusesOddValues) {
+  PlatformRegistrationCodec codec;
+  std::string good = Entry("ready", R"("Address":"10.0.0.1:80","Sequence":4)");
+  EXPECT_TRUE(codec.DecodeSearcher(InstanceId("i-1"), good));
+  std::string deep = good.substr(0, good.size() - 1) + R"(,"X":)" +
+                     std::string(100'000, '[') + std::string(100'000, ']') +
+                     "}";
+  EXPECT_FALSE(codec.DecodeSearcher(InstanceId("i-1"), deep));
+  std::string large = Entry("ready", R"("Address":"10.0.0.1:80","Sequence":4,)"
+                                     R"("Service":")" +
+                                         std::string(1U << 20U, 'a') + "\"");
+  EXPECT_FALSE(codec.DecodeSearcher(InstanceId("i-1"), large));
+  // The id becomes a header field of requests.
+  EXPECT_FALSE(codec.DecodeSearcher(InstanceId("i-1\r\nX: y"), good));
+  EXPECT_FALSE(codec.DecodeSearcher(InstanceId(""), good));
+}
+
+// A configuration with a number that the code can't compute with must not take
+// effect, and the refusal must name the field.
+TEST(RegistrationCodecTest, RefusesConfigurationsWithNumbersOutOfRange) {
+  PlatformRegistrationCodec codec;
+  for (const char* field : {"TimeoutMs", "TargetLatencyMs", "MaxAttempts",
+                            "TopK", "MinShardShare", "Priority"}) {
+    for (const char* number : {"1e300", "-1", "9223372036854775807", "\"4\""}) {
+      std::string text =
+          R"({"Version": 1, "Routes": [{"Host": "h", "Prefix": "/",)"
+          R"("Gather": ["a"], ")" +
+          std::string(field) + "\": " + number + "}]}";
+      Result<ServingConfig> config = codec.DecodeConfig(text);
+      ASSERT_FALSE(config) << text;
+      EXPECT_NE(config.error().detail.find(field), std::string::npos) << text;
+    }
+  }
+  for (const char* text :
+       {R"({"Version": 1e300, "Routes": []})",
+        R"({"Version": -1, "Routes": []})",
+        R"({"Version": 1, "Routes": [], "Limits": {"MaxBodyBytes": -1}})",
+        R"({"Version": 1, "Routes": [], "Limits": {"IdleTimeoutMs": 1e300}})",
+        R"({"Version": 1, "Routes": [],
+            "Services": [{"Name": "a", "MaxConnections": 4294967297}]})",
+        R"({"Version": 1, "Routes": [{"Host": "h", "Prefix": "/",
+            "TrafficSplit": [{"Service": "a", "Weight": 1e300}]}]})"})
+    EXPECT_FALSE(codec.DecodeConfig(text)) << text;
+}
+
 TEST(SearcherRegistrationFieldsTest, DecodesNumericFields) {
   PlatformRegistrationCodec codec;
   Result<SearcherEntry> entry = codec.DecodeSearcher(
