Let the stand-in store answer malformed changes

Cause: a kv-txn with an empty Writes beside Deletes ended the stand-in ("out of range"), and what it served then proved nothing. Change: it applies all writes and deletes of a change and answers 400 to what it doesn't take.

--- a/tests/standin/kv_server.cc
+++ b/tests/standin/kv_server.cc
@@ -2,7 +2,10 @@
 
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <memory>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "platform/json_codec.h"
 #include "platform/wire_names.h"
@@ -69,6 +72,54 @@
   };
 }
 
+// A change without conditions.
+struct Transaction {
+  struct Put {
+    std::string key;
+    std::string value;
+    StoreLease lease;
+  };
+  std::vector<Put> writes;
+  std::vector<std::string> deletes;
+};
+
+const json::array* EntriesOf(const json::object& body, std::string_view name) {
+  static const json::array kNone;
+  const json::value* entries = body.if_contains(name);
+  if (entries == nullptr)
+    return &kNone;
+  return entries->is_array() ? &entries->get_array() : nullptr;
+}
+
+// Returns nothing for a change that is malformed, empty or has conditions.
+std::optional<Transaction> DecodeTransaction(const json::object& body) {
+  const json::array* expected = EntriesOf(body, "Expect");
+  const json::array* writes = EntriesOf(body, "Writes");
+  const json::array* deletes = EntriesOf(body, "Deletes");
+  if (expected == nullptr || !expected->empty() || writes == nullptr ||
+      deletes == nullptr || writes->size() + deletes->size() == 0)
+    return std::nullopt;
+  Transaction change;
+  for (const json::value& it : *writes) {
+    if (!it.is_object())
+      return std::nullopt;
+    const json::object& write = it.get_object();
+    std::optional<std::string> key = platform::StringField(write, "Key");
+    std::optional<std::string> value = platform::DecodeBase64(
+        platform::StringField(write, "Value").value_or("?"));
+    if (!key || !value)
+      return std::nullopt;
+    StoreLease lease(platform::IntegerField(write, "Lease").value_or(0));
+    change.writes.push_back({*key, *value, lease});
+  }
+  for (const json::value& it : *deletes) {
+    if (!it.is_string())
+      return std::nullopt;
+    change.deletes.emplace_back(it.get_string());
+  }
+  return change;
+}
+
 }  // namespace
 
 KvServer::KvServer(boost::asio::io_context& context, std::uint16_t port)
@@ -120,23 +171,25 @@
 }
 
 void KvServer::HandleWrite(const json::object& body, const Respond& respond) {
-  auto done = [respond](const KvWriteResult& write) {
+  std::optional<Transaction> change = DecodeTransaction(body);
+  if (!change) {
+    respond(400, "{}");
+    return;
+  }
+  // The last entry answers the call.
+  std::size_t entries = change->writes.size() + change->deletes.size();
+  auto done = [respond, left = std::make_shared<std::size_t>(entries)](
+                  const KvWriteResult& write) {
+    if (--*left > 0)
+      return;
     respond(
         static_cast<unsigned>(HttpStatusOf(write.status)),
         json::serialize(json::object{{"Revision", write.revision.value()}}));
   };
-  if (const json::value* writes = body.if_contains("Writes")) {
-    const json::object& write = writes->as_array().at(0).as_object();
-    std::string key = platform::StringField(write, "Key").value_or("");
-    std::string text = platform::StringField(write, "Value").value_or("");
-    store_.Put(key, platform::DecodeBase64(text).value_or(""),
-               StoreLease(platform::IntegerField(write, "Lease").value_or(0)),
-               done);
-  } else if (const json::value* deletes = body.if_contains("Deletes")) {
-    store_.Delete(std::string(deletes->as_array().at(0).as_string()), done);
-  } else {
-    respond(400, "{}");
-  }
+  for (const Transaction::Put& it : change->writes)
+    store_.Put(it.key, it.value, it.lease, done);
+  for (const std::string& it : change->deletes)
+    store_.Delete(it, done);
 }
 
 bool KvServer::RegisterSearchers(std::string_view list) {
