--- a/src/discovery/discovery_client.cc
+++ b/src/discovery/discovery_client.cc
@@ -113,6 +113,15 @@
   searchers_.Remove(id);
 }
 
+void DiscoveryClient::OnSearcherLeaving(const SearcherEntry& entry) {
+  DecisionLine(log_, LogCategory::kMembership, DecisionPriority::kStateChange,
+               "searcher_leaving", timers_.Now())
+      .Add("searcher", entry.id.value())
+      .Add("service", entry.service.value())
+      .Add("reason", "its reply says so");
+  searchers_.MarkLeaving(entry);
+}
+
 void DiscoveryClient::OnStoreDisconnected(const std::string& reason) {
   DecisionLine(log_, LogCategory::kStore, DecisionPriority::kStateChange,
                "store_lost", timers_.Now())
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -38,6 +38,8 @@
 
   void Start();
   void Leave(std::function<void()> done) { fleet_.Leave(std::move(done)); }
+  // A searcher said in a reply that it is leaving.
+  void OnSearcherLeaving(const SearcherEntry& entry);
   // Whether a configuration and a listing of the searchers have been received.
   bool IsSynced() const { return has_table_ && watcher_.is_listed(); }
   bool IsStoreConnected() const { return watcher_.is_connected(); }
--- a/src/discovery/searcher_registry.cc
+++ b/src/discovery/searcher_registry.cc
@@ -62,6 +62,18 @@
   Notify(SearcherChange::kUpdated, known.entry);
 }
 
+void SearcherRegistry::MarkLeaving(const SearcherEntry& entry) {
+  auto it = known_.find(entry.id);
+  if (it == known_.end() || it->second.drained ||
+      it->second.entry.started_ms != entry.started_ms)
+    return;
+  it->second.drained = true;
+  if (!it->second.present)
+    return;
+  --ready_count_;
+  Notify(SearcherChange::kDraining, it->second.entry);
+}
+
 void SearcherRegistry::MarkPresent(KnownSearcher& known,
                                    const SearcherEntry& entry) {
   known.entry = entry;
--- a/src/discovery/searcher_registry.h
+++ b/src/discovery/searcher_registry.h
@@ -32,6 +32,9 @@
   void Put(const SearcherEntry& entry);
   // The registration with this id was removed or is not usable.
   void Remove(const InstanceId& id);
+  // The searcher itself said that it is leaving. As after a draining
+  // registration, this incarnation is never used again.
+  void MarkLeaving(const SearcherEntry& entry);
   // EndListing removes the searchers that were not put since BeginListing.
   void BeginListing();
   void EndListing();
@@ -45,7 +48,8 @@
   struct KnownSearcher {
     SearcherEntry entry;
     bool present = false;
-    // The incarnation was draining once and never becomes ready again.
+    // The incarnation was draining or leaving once and never becomes ready
+    // again.
     bool drained = false;
   };
 
--- a/src/dispatch/attempt_launcher.cc
+++ b/src/dispatch/attempt_launcher.cc
@@ -38,10 +38,22 @@
   attempt.searcher->health.OnReply(id, reply, attempt.latency->typical(), now);
   if (reply.outcome == AttemptResult::kSuccess)
     attempt.latency->Observe(now - attempt.sent_at);
+  OnRequestsUnwanted(*attempt.searcher, reply);
   if (attempt.done)
     attempt.done(id, std::move(reply));
 }
 
+void AttemptLauncher::OnRequestsUnwanted(const PooledSearcher& searcher,
+                                         const AttemptReply& reply) {
+  // Another searcher at the address speaks only for itself.
+  if (reply.outcome == AttemptResult::kWrongInstance)
+    return;
+  if (reply.leaving && on_leaving_)
+    on_leaving_(searcher.entry);
+  if (reply.retry_after)
+    transport_.ReturnQueued(searcher.entry.id, "the searcher pushes back");
+}
+
 void AttemptLauncher::Detach(AttemptId id, Duration grace) {
   auto it = attempts_.find(id);
   if (it == attempts_.end())
--- a/src/dispatch/attempt_launcher.h
+++ b/src/dispatch/attempt_launcher.h
@@ -17,6 +17,7 @@
 class AttemptLauncher {
  public:
   using ReplyHandler = std::function<void(AttemptId, AttemptReply)>;
+  using LeavingHandler = std::function<void(const SearcherEntry&)>;
 
   AttemptLauncher(TimerService& timers,
                   SearcherTransport& transport,
@@ -33,6 +34,11 @@
   void Detach(AttemptId attempt, Duration grace);
   // Drops the reply handler and lets the attempt run to its end.
   void DetachWithoutCancel(AttemptId attempt);
+  // Called when a searcher says in a reply that it is leaving, before the reply
+  // is handled.
+  void SetLeavingHandler(LeavingHandler handler) {
+    on_leaving_ = std::move(handler);
+  }
   bool IsWritten(AttemptId attempt) const {
     return transport_.IsWritten(attempt);
   }
@@ -46,11 +52,15 @@
   };
 
   void OnReply(AttemptId id, AttemptReply reply);
+  // Handles a reply in which the searcher asks for no more requests.
+  void OnRequestsUnwanted(const PooledSearcher& searcher,
+                          const AttemptReply& reply);
   void Cancel(AttemptId id);
 
   TimerService& timers_;
   SearcherTransport& transport_;
   DispatchMetrics& metrics_;
+  LeavingHandler on_leaving_;
   std::uint64_t last_id_ = 0;
   std::unordered_map<AttemptId, Attempt> attempts_;
 };
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -19,6 +19,10 @@
 // fleet, so that it can use free slots while other daemons are idle. In a large
 // fleet they would overfill the searcher's queue.
 constexpr int kMinRequestsPerSearcher = 2;
+// Time in which a daemon that has just started reads the configuration.
+constexpr Duration kStartupWait = std::chrono::milliseconds(300);
+// Of a caller that gave no deadline.
+constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -36,7 +40,9 @@
       random_(seed),
       metrics_(registry),
       launcher_(timers, transport, metrics_),
-      context_{timers_, launcher_, random_, log_, metrics_, options_} {}
+      retry_advice_(random_),
+      context_{timers_, launcher_, random_, retry_advice_,
+               log_,    metrics_,  options_} {}
 
 std::shared_ptr<ServicePool> Dispatcher::GetOrCreatePool(
     const ServiceName& name) {
@@ -78,10 +84,7 @@
       break;
     case SearcherChange::kDraining:
     case SearcherChange::kGone:
-      if (pool->Find(entry.id) != nullptr)
-        --ready_searchers_;
-      pool->Remove(entry.id);
-      transport_.Retire(entry.id);
+      RemoveSearcher(entry);
       break;
   }
 }
@@ -90,11 +93,40 @@
   std::shared_ptr<ServicePool> pool = GetOrCreatePool(entry.service);
   if (pool->Find(entry.id) == nullptr)
     ++ready_searchers_;
-  pool->Add(std::make_shared<PooledSearcher>(PooledSearcher{
-      entry, SearcherHealth(entry.slots, timers_.Now() + entry.warmup_left)}));
+  PooledSearcherPtr searcher = TakeFormer(entry);
+  if (!searcher) {
+    searcher = std::make_shared<PooledSearcher>(PooledSearcher{
+        entry, SearcherHealth(entry.slots, timers_.Now() + entry.warmup_left)});
+  }
+  pool->Add(std::move(searcher));
   SetConnectionLimit(entry);
 }
 
+void Dispatcher::RemoveSearcher(const SearcherEntry& entry) {
+  std::shared_ptr<ServicePool> pool = GetOrCreatePool(entry.service);
+  PooledSearcherPtr searcher = pool->Find(entry.id);
+  if (searcher) {
+    --ready_searchers_;
+    TimePoint now = timers_.Now();
+    std::erase_if(former_, [now](const auto& it) {
+      return now >= it.second->health.pushed_back_until();
+    });
+    if (now < searcher->health.pushed_back_until())
+      former_[entry.id] = searcher;
+  }
+  pool->Remove(entry.id);
+  transport_.Retire(entry.id);
+}
+
+PooledSearcherPtr Dispatcher::TakeFormer(const SearcherEntry& entry) {
+  auto node = former_.extract(entry.id);
+  if (node.empty() || node.mapped()->entry.started_ms != entry.started_ms ||
+      node.mapped()->entry.service != entry.service)
+    return nullptr;
+  node.mapped()->entry = entry;
+  return node.mapped();
+}
+
 void Dispatcher::UpdateSearcher(const SearcherEntry& entry) {
   PooledSearcherPtr searcher = GetOrCreatePool(entry.service)->Find(entry.id);
   if (!searcher)
@@ -162,23 +194,8 @@
                                       AnswerHandler done) {
   const Route* route =
       table_ ? table_->Find(request->host, request->target) : nullptr;
-  if (route == nullptr) {
-    CallerAnswer answer;
-    answer.error = table_ ? ErrorKind::kNotFound : ErrorKind::kNotReady;
-    answer.reason = table_ ? "no route for this host and path"
-                           : "no configuration is known yet";
-    if (!table_)
-      answer.retry_after = std::chrono::milliseconds(300);
-    DecisionLine(log_, LogCategory::kGather, DecisionPriority::kNotable,
-                 "refused", timers_.Now())
-        .Add("request", request->id)
-        .Add("reason", answer.reason)
-        .Add("host", request->host)
-        .Add("target", request->target)
-        .Add("config", table_ ? table_->version().value() : 0);
-    done(std::move(answer));
-    return nullptr;
-  }
+  if (route == nullptr)
+    return RefuseUnrouted(*request, done);
   RoutedRequest routed{std::move(request), table_, route,
                        GetOrCreateLatency(*route)};
   RunPtr run = MakeRun(std::move(routed), std::move(done));
@@ -186,6 +203,27 @@
   return run;
 }
 
+Dispatcher::RunPtr Dispatcher::RefuseUnrouted(const ForwardedRequest& request,
+                                              const AnswerHandler& done) {
+  CallerAnswer answer;
+  answer.error = table_ ? ErrorKind::kNotFound : ErrorKind::kNotReady;
+  answer.reason = table_ ? "no route for this host and path"
+                         : "no configuration is known yet";
+  if (!table_) {
+    answer.retry_after = retry_advice_.Get(
+        kStartupWait, request.deadline.value_or(kDefaultDeadline));
+  }
+  DecisionLine(log_, LogCategory::kGather, DecisionPriority::kNotable,
+               "refused", timers_.Now())
+      .Add("request", request.id)
+      .Add("reason", answer.reason)
+      .Add("host", request.host)
+      .Add("target", request.target)
+      .Add("config", table_ ? table_->version().value() : 0);
+  done(std::move(answer));
+  return nullptr;
+}
+
 std::shared_ptr<RequestRun> Dispatcher::MakeRun(RoutedRequest routed,
                                                 AnswerHandler done) {
   const Route& route = *routed.route;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -31,6 +31,12 @@
   // Number of entry daemons that share limits and budgets, this one included.
   void SetFleetSize(int size);
 
+  // Called when a searcher says in a reply that it is leaving. It stays in use
+  // until OnSearcherChange removes it.
+  void SetLeavingHandler(AttemptLauncher::LeavingHandler handler) {
+    launcher_.SetLeavingHandler(std::move(handler));
+  }
+
   // Calls `done` exactly once, unless the returned run is abandoned. Returns
   // null if the request was answered at once.
   RunPtr Submit(ForwardedRequestPtr request, AnswerHandler done);
@@ -43,7 +49,12 @@
   std::shared_ptr<ServicePool> GetOrCreatePool(const ServiceName& name);
   std::shared_ptr<RouteLatency> GetOrCreateLatency(const Route& route);
   std::shared_ptr<RequestRun> MakeRun(RoutedRequest routed, AnswerHandler done);
+  RunPtr RefuseUnrouted(const ForwardedRequest& request,
+                        const AnswerHandler& done);
   void AddSearcher(const SearcherEntry& entry);
+  void RemoveSearcher(const SearcherEntry& entry);
+  // The earlier state of a searcher that still pushes back, or null.
+  PooledSearcherPtr TakeFormer(const SearcherEntry& entry);
   void UpdateSearcher(const SearcherEntry& entry);
   void SetConnectionLimit(const SearcherEntry& entry);
   void ApplyConnectionLimits();
@@ -56,12 +67,16 @@
   RandomEngine random_;
   DispatchMetrics metrics_;
   AttemptLauncher launcher_;
+  RetryAdvice retry_advice_;
   RunContext context_;
   RouteTablePtr table_;
   TrafficSplitter splitter_;
   int fleet_size_ = 1;
   std::size_t ready_searchers_ = 0;
   std::unordered_map<ServiceName, std::shared_ptr<ServicePool>> pools_;
+  // Searchers that were removed while they wanted no requests. One that comes
+  // back before that time has passed still wants none.
+  std::unordered_map<InstanceId, PooledSearcherPtr> former_;
   // By route name.
   std::unordered_map<std::string, std::shared_ptr<RouteLatency>> latencies_;
 };
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -4,14 +4,6 @@
 #include <utility>
 
 namespace jujubecove {
-namespace {
-
-// Suggested to callers of refused requests: long enough for a searcher's pause
-// to end, with jitter so that callers do not retry at the same time.
-constexpr Duration kMeanRetryAfter = std::chrono::milliseconds(120);
-
-}  // namespace
-
 PooledSearcherPtr RemoveInFlight(std::vector<LaunchedAttempt>& in_flight,
                                  AttemptId id) {
   auto it =
@@ -40,7 +32,7 @@
   if (now() < deadline_)
     Start();
   else
-    Fail(ErrorKind::kDeadlineUnmeetable, "the deadline has passed", false);
+    Fail(ErrorKind::kDeadlineUnmeetable, "the deadline has passed");
 }
 
 void RequestRun::Abandon() {
@@ -91,16 +83,20 @@
   done(std::move(answer));
 }
 
-void RequestRun::Fail(ErrorKind kind, std::string reason, bool suggest_retry) {
+void RequestRun::Fail(ErrorKind kind, std::string reason) {
   CallerAnswer answer;
   answer.error = kind;
   answer.reason = std::move(reason);
-  if (suggest_retry) {
-    std::uniform_real_distribution<double> spread(0.5, 1.5);
-    answer.retry_after = Duration(static_cast<Duration::rep>(
-        static_cast<double>(kMeanRetryAfter.count()) *
-        spread(context_.random)));
-  }
+  Finish(std::move(answer));
+}
+
+void RequestRun::Refuse(ErrorKind kind,
+                        std::string reason,
+                        std::optional<Duration> wait) {
+  CallerAnswer answer;
+  answer.error = kind;
+  answer.reason = std::move(reason);
+  answer.retry_after = context_.retry_advice.Get(wait, deadline_ - now());
   Finish(std::move(answer));
 }
 
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -2,12 +2,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "dispatch/attempt_launcher.h"
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/dispatch_options.h"
+#include "dispatch/retry_advice.h"
 #include "route/route_table.h"
 #include "telemetry/decision_log.h"
 
@@ -18,6 +20,7 @@
   TimerService& timers;
   AttemptLauncher& launcher;
   RandomEngine& random;
+  RetryAdvice& retry_advice;
   DecisionLog& log;
   DispatchMetrics& metrics;
   const DispatchOptions& options;
@@ -66,7 +69,10 @@
   // Schedules OnTimer and replaces an earlier schedule.
   void SetTimer(TimePoint when);
   void Finish(CallerAnswer answer);
-  void Fail(ErrorKind kind, std::string reason, bool suggest_retry);
+  void Fail(ErrorKind kind, std::string reason);
+  // Refuses a request that has not run and tells the caller when to ask again.
+  // `wait` is the shortest time after which it could be served, if known.
+  void Refuse(ErrorKind kind, std::string reason, std::optional<Duration> wait);
 
   bool finished() const { return finished_; }
   TimePoint now() const { return context_.timers.Now(); }
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -11,6 +11,9 @@
 
 // Delay until the next try after the budget denied a hedge.
 constexpr Duration kHedgeRetryInterval = std::chrono::milliseconds(8);
+// A part that is larger than the records of an answer by this factor is reduced
+// to them while the other parts are awaited.
+constexpr std::size_t kTrimmedPartFactor = 8;
 
 }  // namespace
 
@@ -33,15 +36,33 @@
   return std::max<std::size_t>(needed, 1);
 }
 
+// The time until as many shards as the answer needs have an available searcher.
+// Nothing if too few shards have any searcher.
+std::optional<Duration> ScatterRun::WaitForRequiredShards() const {
+  std::vector<Duration> waits;
+  for (const Shard& it : shards_) {
+    if (std::optional<Duration> wait = it.pool->WaitUntilAvailable(now()))
+      waits.push_back(*wait);
+  }
+  if (waits.size() < required())
+    return std::nullopt;
+  auto last = waits.begin() + static_cast<std::ptrdiff_t>(required() - 1);
+  std::nth_element(waits.begin(), last, waits.end());
+  return *last;
+}
+
 void ScatterRun::Start() {
-  std::size_t available = 0;
-  for (const Shard& it : shards_)
-    available += it.pool->empty() ? 0 : 1;
-  if (available < required()) {
-    Fail(ErrorKind::kNoUpstream,
-         "only " + std::to_string(available) + " of " +
-             std::to_string(shards_.size()) + " shards have a searcher",
-         true);
+  std::optional<Duration> wait = WaitForRequiredShards();
+  if (wait != Duration(0)) {
+    auto available =
+        std::count_if(shards_.begin(), shards_.end(), [this](const Shard& it) {
+          return it.pool->WaitUntilAvailable(now()) == Duration(0);
+        });
+    Refuse(ErrorKind::kNoUpstream,
+           "only " + std::to_string(available) + " of " +
+               std::to_string(shards_.size()) + " shards have a searcher" +
+               (wait ? " that accepts requests" : ""),
+           wait);
     return;
   }
   for (std::size_t n = 0; n < shards_.size(); ++n) {
@@ -114,6 +135,12 @@
                             AttemptReply reply) {
   shard.answered = true;
   shard.part = std::move(reply);
+  // Keeps only the records that can be in the answer.
+  std::size_t top_bytes = route().scatter->top_records * kRecordBytes;
+  if (shard.part.body.size() > kTrimmedPartFactor * top_bytes) {
+    shard.part.body =
+        MergeTopRecords({shard.part.body}, route().scatter->top_records);
+  }
   last_part_searcher_ = searcher.entry.id.value();
   last_part_took_ = now() - routed().request->received;
   ++answered_shards_;
@@ -247,11 +274,11 @@
   for (const Shard& it : shards_)
     may_have_run_ = may_have_run_ || !it.in_flight.empty();
   if (!may_have_run_)
-    Fail(ErrorKind::kOverloaded, text, true);
+    Refuse(ErrorKind::kOverloaded, text, WaitForRequiredShards());
   else
     Fail(deadline_passed ? ErrorKind::kDeadlineExceeded
                          : ErrorKind::kShardsUnavailable,
-         text, false);
+         text);
 }
 
 void ScatterRun::Describe(DecisionLine& line) const {
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "dispatch/request_run.h"
@@ -60,6 +61,7 @@
   void AnswerWithParts();
   void FailWithTooFewParts(const std::string& reason);
   std::size_t required() const;
+  std::optional<Duration> WaitForRequiredShards() const;
 
   std::vector<Shard> shards_;
   std::size_t answered_shards_ = 0;
--- a/src/dispatch/searcher_health.cc
+++ b/src/dispatch/searcher_health.cc
@@ -75,10 +75,14 @@
   }
   if (reply.outcome == AttemptResult::kWrongInstance)
     address_reused_until_ = now + kAddressReuseTime;
+  if (reply.retry_after)
+    pushed_back_until_ = std::max(pushed_back_until_, now + *reply.retry_after);
   // After a refusal or a reported failure the searcher is still reachable; only
   // connection failures make it suspect.
+  bool returned_unsent =
+      reply.outcome == AttemptResult::kNotSent && now < pushed_back_until_;
   if (reply.outcome == AttemptResult::kBroken ||
-      reply.outcome == AttemptResult::kNotSent)
+      (reply.outcome == AttemptResult::kNotSent && !returned_unsent))
     MarkSuspect(now);
 }
 
--- a/src/dispatch/searcher_health.h
+++ b/src/dispatch/searcher_health.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -36,11 +37,13 @@
   // only if there is no other one.
   bool IsSuspect(TimePoint now) const { return now < suspect_until_; }
 
-  // Whether another searcher recently answered at its address, so that nothing
-  // may be sent there.
-  bool IsAddressReused(TimePoint now) const {
-    return now < address_reused_until_;
+  // Until when the searcher wants no requests from this daemon.
+  TimePoint pushed_back_until() const { return pushed_back_until_; }
+  // From when on new attempts may be sent.
+  TimePoint available_at() const {
+    return std::max(address_reused_until_, pushed_back_until_);
   }
+  bool IsAvailable(TimePoint now) const { return now >= available_at(); }
 
   int in_flight() const { return static_cast<int>(in_flight_.size()); }
   int slots() const { return slots_; }
@@ -65,6 +68,7 @@
   TimePoint reported_at_{};
   TimePoint suspect_until_{};
   TimePoint address_reused_until_{};
+  TimePoint pushed_back_until_{};
   int consecutive_failures_ = 0;
 };
 
--- a/src/dispatch/searcher_transport.h
+++ b/src/dispatch/searcher_transport.h
@@ -42,6 +42,11 @@
   HeaderFields headers;
   std::string body;
   std::optional<ReportedLoad> load;
+  // The searcher is about to leave and wants no new requests.
+  bool leaving = false;
+  // Set if the searcher refused for lack of room: how long it wants no request
+  // from this VM.
+  std::optional<Duration> retry_after;
   // Reason of a failure, for the log.
   std::string failure;
   // Time that the attempt waited for a connection.
@@ -90,7 +95,12 @@
   // Limits the connections to this searcher and thus the requests that it gets
   // from here concurrently.
   virtual void SetConnectionLimit(const SearcherEntry& searcher, int limit) = 0;
-  // Closes the idle connections to a searcher that gets no new attempts.
+  // Ends the attempts that wait for a connection to this searcher with
+  // kNotSent.
+  virtual void ReturnQueued(const InstanceId& searcher,
+                            const std::string& reason) = 0;
+  // Closes the idle connections to a searcher that gets no new attempts, and
+  // returns those that wait. Attempts in flight go on.
   virtual void Retire(const InstanceId& searcher) = 0;
 };
 
--- a/src/dispatch/service_pool.cc
+++ b/src/dispatch/service_pool.cc
@@ -44,7 +44,7 @@
   PooledSearcherPtr best;
   Duration best_score = Duration::max();
   for (const PooledSearcherPtr& it : searchers_) {
-    if (it->health.IsAddressReused(now) ||
+    if (!it->health.IsAvailable(now) ||
         std::find(tried.begin(), tried.end(), it) != tried.end())
       continue;
     Duration score = it->health.ExpectedLatency(latency.typical(), now);
@@ -62,4 +62,26 @@
   return best;
 }
 
+std::optional<Duration> ServicePool::WaitUntilAvailable(TimePoint now) const {
+  std::optional<Duration> wait;
+  for (const PooledSearcherPtr& it : searchers_) {
+    Duration own = std::max(it->health.available_at() - now, Duration(0));
+    wait = std::min(wait.value_or(own), own);
+  }
+  return wait;
+}
+
+std::optional<Duration> ServicePool::LowestExpectedLatency(
+    const RouteLatency& latency,
+    TimePoint now) const {
+  std::optional<Duration> lowest;
+  for (const PooledSearcherPtr& it : searchers_) {
+    if (!it->health.IsAvailable(now))
+      continue;
+    Duration own = it->health.ExpectedLatency(latency.typical(), now);
+    lowest = std::min(lowest.value_or(own), own);
+  }
+  return lowest;
+}
+
 }  // namespace jujubecove
--- a/src/dispatch/service_pool.h
+++ b/src/dispatch/service_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -36,13 +37,21 @@
   // Null if it is not in the pool.
   PooledSearcherPtr Find(const InstanceId& id) const;
 
-  // The searcher with the lowest expected latency that is not in `tried`, or
-  // null.
+  // The available searcher with the lowest expected latency that is not in
+  // `tried`, or null.
   PooledSearcherPtr Select(std::span<const PooledSearcherPtr> tried,
                            const RouteLatency& latency,
                            TimePoint now,
                            RandomEngine& random) const;
 
+  // The time until one of the searchers is available, zero if one is. Nothing
+  // if there are none.
+  std::optional<Duration> WaitUntilAvailable(TimePoint now) const;
+  // The lowest expected latency of the available searchers. Nothing if there
+  // are none.
+  std::optional<Duration> LowestExpectedLatency(const RouteLatency& latency,
+                                                TimePoint now) const;
+
   const ServiceName& name() const { return name_; }
   bool empty() const { return searchers_.empty(); }
   const std::vector<PooledSearcherPtr>& searchers() const { return searchers_; }
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -28,8 +28,10 @@
 void SingleRun::Start() {
   pool_->budget().CountRequest(now());
   if (!LaunchNext()) {
-    Fail(ErrorKind::kNoUpstream, "no searcher of " + pool_->name().value(),
-         true);
+    std::string what =
+        pool_->empty() ? "no searcher of " : "no available searcher of ";
+    Refuse(ErrorKind::kNoUpstream, what + pool_->name().value(),
+           pool_->WaitUntilAvailable(now()));
     return;
   }
   UpdateTimer();
@@ -99,8 +101,12 @@
 
 void SingleRun::AnswerFailure(AttemptReply reply) {
   if (!may_have_run_) {
-    Fail(ErrorKind::kOverloaded, "refused by the searchers: " + reply.failure,
-         true);
+    std::optional<Duration> wait =
+        pool_->LowestExpectedLatency(*routed().latency, now());
+    if (!wait)
+      wait = pool_->WaitUntilAvailable(now());
+    Refuse(ErrorKind::kOverloaded, "refused by the searchers: " + reply.failure,
+           wait);
     return;
   }
   // A failure reply is forwarded, unless its status would tell the caller that
@@ -114,8 +120,7 @@
     Finish(std::move(answer));
     return;
   }
-  Fail(ErrorKind::kOutcomeUnknown, "the searcher failed: " + reply.failure,
-       false);
+  Fail(ErrorKind::kOutcomeUnknown, "the searcher failed: " + reply.failure);
 }
 
 bool SingleRun::MayHedge() const {
@@ -132,9 +137,9 @@
     for (const LaunchedAttempt& it : in_flight_)
       may_have_run_ = may_have_run_ || context().launcher.IsWritten(it.id);
     if (may_have_run_)
-      Fail(ErrorKind::kDeadlineExceeded, "no reply in time", false);
+      Fail(ErrorKind::kDeadlineExceeded, "no reply in time");
     else
-      Fail(ErrorKind::kDeadlineUnmeetable, "no connection in time", false);
+      Fail(ErrorKind::kDeadlineUnmeetable, "no connection in time");
     return;
   }
   if (MayHedge() && now() >= hedge_at_) {
--- a/src/egress/http_searcher_transport.cc
+++ b/src/egress/http_searcher_transport.cc
@@ -11,8 +11,12 @@
 
 HttpSearcherTransport::HttpSearcherTransport(boost::asio::io_context& context,
                                              TimerService& timers,
-                                             const SearcherProtocol& protocol)
-    : context_(context), timers_(timers), protocol_(protocol) {
+                                             const SearcherProtocol& protocol,
+                                             std::size_t max_reply_memory)
+    : context_(context),
+      timers_(timers),
+      protocol_(protocol),
+      budget_(max_reply_memory) {
   timers_.ScheduleAfter(kStaleCheckInterval, [this] { CloseStale(); });
 }
 
@@ -20,13 +24,13 @@
     const SearcherEntry& searcher) {
   ConnectionsPtr& connections = searchers_[searcher.id];
   if (connections && connections->searcher().address != searcher.address) {
-    connections->Retire();
     retired_.push_back(std::move(connections));
     connections = nullptr;
+    retired_.back()->Retire();
   }
   if (!connections) {
     connections = std::make_shared<SearcherConnections>(
-        context_, timers_, protocol_, stats_, searcher);
+        context_, timers_, protocol_, budget_, stats_, searcher);
   }
   return connections;
 }
@@ -62,13 +66,23 @@
   ConnectionsOf(searcher)->set_connection_limit(limit);
 }
 
+void HttpSearcherTransport::ReturnQueued(const InstanceId& searcher,
+                                         const std::string& reason) {
+  auto it = searchers_.find(searcher);
+  if (it == searchers_.end())
+    return;
+  ConnectionsPtr connections = it->second;
+  connections->ReturnQueued(reason);
+}
+
 void HttpSearcherTransport::Retire(const InstanceId& searcher) {
   auto it = searchers_.find(searcher);
   if (it == searchers_.end())
     return;
-  it->second->Retire();
-  retired_.push_back(std::move(it->second));
+  ConnectionsPtr connections = std::move(it->second);
   searchers_.erase(it);
+  retired_.push_back(connections);
+  connections->Retire();
 }
 
 void HttpSearcherTransport::CloseStale() {
--- a/src/egress/http_searcher_transport.h
+++ b/src/egress/http_searcher_transport.h
@@ -13,7 +13,8 @@
  public:
   HttpSearcherTransport(boost::asio::io_context& context,
                         TimerService& timers,
-                        const SearcherProtocol& protocol);
+                        const SearcherProtocol& protocol,
+                        std::size_t max_reply_memory);
 
   void Send(AttemptId attempt,
             const SearcherEntry& searcher,
@@ -23,9 +24,13 @@
   bool Cancel(AttemptId attempt) override;
   bool IsWritten(AttemptId attempt) const override;
   void SetConnectionLimit(const SearcherEntry& searcher, int limit) override;
+  void ReturnQueued(const InstanceId& searcher,
+                    const std::string& reason) override;
   void Retire(const InstanceId& searcher) override;
 
   const EgressStats& stats() const { return stats_; }
+  // Bytes of large replies that are being received.
+  std::size_t buffered_reply_bytes() const { return budget_.used(); }
 
  private:
   using ConnectionsPtr = std::shared_ptr<SearcherConnections>;
@@ -36,6 +41,7 @@
   boost::asio::io_context& context_;
   TimerService& timers_;
   const SearcherProtocol& protocol_;
+  ReplyBudget budget_;
   EgressStats stats_;
   std::unordered_map<InstanceId, ConnectionsPtr> searchers_;
   // Retired searchers that still have attempts in flight.
--- a/src/egress/searcher_connections.cc
+++ b/src/egress/searcher_connections.cc
@@ -23,17 +23,22 @@
 // When an attempt is cancelled after this time without a reply, connections
 // idle since before it was sent are closed: they may be unresponsive too.
 constexpr Duration kNoReplyThreshold = milliseconds(400);
+// Late copies of the replies to that many requests can't be taken for the reply
+// to a request with the same id.
+constexpr std::size_t kRememberedIds = 8;
 
 }  // namespace
 
 SearcherConnections::SearcherConnections(boost::asio::io_context& context,
                                          TimerService& timers,
                                          const SearcherProtocol& protocol,
+                                         ReplyBudget& budget,
                                          EgressStats& stats,
                                          SearcherEntry searcher)
     : context_(context),
       timers_(timers),
       protocol_(protocol),
+      budget_(budget),
       stats_(stats),
       searcher_(std::move(searcher)) {}
 
@@ -102,7 +107,8 @@
   ++stats_.connections_opened;
   connections_.push_front(Connection{});
   auto it = connections_.begin();
-  it->client = std::make_shared<ClientConnection>(context_, kMaxReplyBytes);
+  it->client =
+      std::make_shared<ClientConnection>(context_, kMaxReplyBytes, &budget_);
   it->connect_timer = timers_.ScheduleAfter(kConnectTimeout, [this, it] {
     if (it->client->state() == ClientConnection::State::kConnecting)
       OnConnectFailed(it, "connect: no answer");
@@ -123,14 +129,30 @@
                            [this, it](HttpExchange exchange) {
                              OnFinished(it, std::move(exchange));
                            },
-                       .matches_request =
+                       .classify_reply =
                            [this, it](const WireReply& reply) {
-                             return it->attempt &&
-                                    protocol_.IsReplyTo(reply,
-                                                        *it->attempt->request);
+                             return ClassifyReply(*it, reply);
                            }});
 }
 
+// A reply without an id can only be trusted as the first one on a connection:
+// later it may be a late copy of an earlier reply.
+ReplyUse SearcherConnections::ClassifyReply(const Connection& connection,
+                                            const WireReply& reply) const {
+  if (!connection.attempt)
+    return ReplyUse::kSkip;
+  switch (protocol_.OwnerOf(reply, *connection.attempt->request)) {
+    case ReplyOwner::kThisRequest:
+      return ReplyUse::kAccept;
+    case ReplyOwner::kOtherRequest:
+      return ReplyUse::kSkip;
+    case ReplyOwner::kUnidentified:
+      break;
+  }
+  return connection.request_ids.size() == 1 ? ReplyUse::kAcceptAndClose
+                                            : ReplyUse::kSkip;
+}
+
 void SearcherConnections::OnConnectFailed(Iterator it,
                                           const std::string& reason) {
   --connecting_;
@@ -140,8 +162,7 @@
   bool any_open = connecting_ < static_cast<int>(connections_.size());
   if (any_open)
     return;
-  timers_.Cancel(expiry_timer_);
-  ReturnUnsent(queued_.TakeAll(), reason);
+  ReturnQueued(reason);
 }
 
 void SearcherConnections::OnIdle(Iterator it) {
@@ -164,6 +185,9 @@
       protocol_.EncodeHead(*attempt.request, searcher_.id, remaining);
   std::shared_ptr<const std::string> body = attempt.request->body;
   bool is_head = attempt.request->method == "HEAD";
+  it->request_ids.push_back(attempt.request->id);
+  if (it->request_ids.size() > kRememberedIds)
+    it->request_ids.pop_front();
   it->attempt = std::move(attempt);
   it->client->Send(std::move(head), std::move(body), is_head);
 }
@@ -175,11 +199,21 @@
     ++stats_.exchanges_broken;
   AttemptReply reply = Decode(std::move(exchange));
   reply.queue_time = it->sent_at - attempt.queued_at;
-  if (it->client->state() == ClientConnection::State::kIdle)
+  // A searcher that wants no more requests gets none of the queued ones before
+  // the reply has been handled.
+  bool wants_more = !reply.leaving && !reply.retry_after;
+  if (it->client->state() != ClientConnection::State::kIdle)
+    Close(it);
+  else if (wants_more)
     OnIdle(it);
   else
-    Close(it);
+    it->idle_since = timers_.Now();
   attempt.done(std::move(reply));
+  if (wants_more)
+    return;
+  if (retired_)
+    CloseIdleBefore(TimePoint::max());
+  AssignConnections();
 }
 
 AttemptReply SearcherConnections::Decode(HttpExchange exchange) const {
@@ -216,9 +250,15 @@
                      });
 }
 
+void SearcherConnections::ReturnQueued(const std::string& reason) {
+  timers_.Cancel(expiry_timer_);
+  ReturnUnsent(queued_.TakeAll(), reason);
+}
+
 void SearcherConnections::Retire() {
   retired_ = true;
   CloseIdleBefore(TimePoint::max());
+  ReturnQueued("the searcher accepts no new requests");
 }
 
 void SearcherConnections::CloseStale() {
@@ -248,10 +288,14 @@
   return timers_.Now() - connection.idle_since > limit;
 }
 
-// The searcher or a middlebox may have dropped an idle connection. The next
-// request then gets a reset, and whether it ran is unknown.
+// A late copy of an earlier reply must not match the request by its id. And the
+// searcher or a middlebox may have dropped an idle connection: the next request
+// then gets a reset, and whether it ran is unknown.
 bool SearcherConnections::IsSafeFor(const Connection& connection,
                                     const QueuedAttempt& attempt) const {
+  const std::deque<std::string>& ids = connection.request_ids;
+  if (std::find(ids.begin(), ids.end(), attempt.request->id) != ids.end())
+    return false;
   return attempt.attempt_options.idempotent ||
          timers_.Now() - connection.idle_since < kMaxIdleForNonIdempotent;
 }
--- a/src/egress/searcher_connections.h
+++ b/src/egress/searcher_connections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <list>
 #include <memory>
 #include <string>
@@ -22,6 +23,7 @@
   SearcherConnections(boost::asio::io_context& context,
                       TimerService& timers,
                       const SearcherProtocol& protocol,
+                      ReplyBudget& budget,
                       EgressStats& stats,
                       SearcherEntry searcher);
   ~SearcherConnections();
@@ -35,7 +37,10 @@
   bool Cancel(AttemptId attempt);
   bool IsWritten(AttemptId attempt) const;
   void set_connection_limit(int limit) { connection_limit_ = limit; }
-  // Closes idle connections now, and each busy one once it becomes idle.
+  // Ends the queued attempts with kNotSent.
+  void ReturnQueued(const std::string& reason);
+  // Returns the queued attempts and closes idle connections now, and each busy
+  // one once it becomes idle.
   void Retire();
   // Closes connections that have been idle for too long.
   void CloseStale();
@@ -50,6 +55,8 @@
     TimePoint sent_at{};
     TimePoint idle_since{};
     TimerId connect_timer;
+    // Ids of the latest requests on this connection, at most kRememberedIds.
+    std::deque<std::string> request_ids;
   };
   using Iterator = std::list<Connection>::iterator;
 
@@ -64,6 +71,8 @@
   void Close(Iterator it);
   void CloseIdleBefore(TimePoint cutoff);
   bool IsStale(const Connection& connection) const;
+  ReplyUse ClassifyReply(const Connection& connection,
+                         const WireReply& reply) const;
   // Whether the attempt may be written to this idle connection.
   bool IsSafeFor(const Connection& connection,
                  const QueuedAttempt& attempt) const;
@@ -75,6 +84,7 @@
   boost::asio::io_context& context_;
   TimerService& timers_;
   const SearcherProtocol& protocol_;
+  ReplyBudget& budget_;
   EgressStats& stats_;
   SearcherEntry searcher_;
   int connection_limit_ = 1;
--- a/src/egress/searcher_protocol.h
+++ b/src/egress/searcher_protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "dispatch/searcher_transport.h"
@@ -7,6 +8,14 @@
 
 namespace jujubecove {
 
+// Which request a reply belongs to, by the id that it repeats.
+enum class ReplyOwner : std::uint8_t {
+  kThisRequest,
+  kOtherRequest,
+  // It has no id, or more than one.
+  kUnidentified,
+};
+
 // Translates between the tier's requests and replies and HTTP messages on a
 // searcher's connection.
 class SearcherProtocol {
@@ -18,9 +27,8 @@
   virtual std::string EncodeHead(const ForwardedRequest& request,
                                  const InstanceId& instance,
                                  Duration remaining) const = 0;
-  // Whether the reply belongs to this request.
-  virtual bool IsReplyTo(const WireReply& reply,
-                         const ForwardedRequest& request) const = 0;
+  virtual ReplyOwner OwnerOf(const WireReply& reply,
+                             const ForwardedRequest& request) const = 0;
   virtual AttemptReply DecodeReply(WireReply reply) const = 0;
 };
 
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -44,7 +44,10 @@
       log_(sink_, config_.vm.value(), config_.log_lines_per_second),
       store_(context_, timers_, config_.store, config_.store_call_timeout),
       metrics_(registry_),
-      transport_(context_, timers_, searcher_protocol_),
+      transport_(context_,
+                 timers_,
+                 searcher_protocol_,
+                 config_.max_reply_memory),
       dispatcher_(timers_,
                   transport_,
                   log_,
@@ -75,7 +78,11 @@
                       operations_host_,
                       operations_protocol_,
                       kOperationsConnections),
-      signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
+      signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+  dispatcher_.SetLeavingHandler([this](const SearcherEntry& entry) {
+    discovery_.OnSearcherLeaving(entry);
+  });
+}
 
 DiscoveryClient::Callbacks FrontDaemon::DiscoveryCallbacks() {
   return {.table_changed =
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -27,6 +27,15 @@
      .doc = "Maximum number of open file descriptors. Half of them are for "
             "caller connections."});
 
+const Setting<double> kMemory(
+    {.section = "vm",
+     .key = "memory_mb",
+     .default_value = 512.0,
+     .unit = "MB",
+     .accepted = {.min = 16.0, .max = 1e6},
+     .doc = "Memory of this process. Replies of searchers that are being "
+            "received take at most an eighth of it."});
+
 const Setting<SocketAddress> kCallers(
     {.section = "listen",
      .key = "callers",
@@ -135,13 +144,15 @@
 constexpr Duration kMinWatchWait = milliseconds(200);
 // Half of the descriptors are for searchers, the store and files.
 constexpr std::int64_t kDescriptorsPerCallerConnection = 2;
+constexpr double kReplyMemoryShare = 0.125;
+constexpr double kBytesPerMegabyte = 1048576.0;
 
 }  // namespace
 
 const SettingsSchema& FrontSchema() {
   static const SettingsSchema kSchema = {
       {.type = "vm",
-       .settings = {&kVmId, &kZone, &kMaxDescriptors},
+       .settings = {&kVmId, &kZone, &kMaxDescriptors, &kMemory},
        .doc = "The VM."},
       {.type = "listen",
        .settings = {&kCallers, &kReadiness, &kMetrics},
@@ -179,6 +190,8 @@
   config.drain_grace = seconds(settings.Get(kDrainGrace));
   config.max_connections = static_cast<std::size_t>(
       settings.Get(kMaxDescriptors) / kDescriptorsPerCallerConnection);
+  config.max_reply_memory = static_cast<std::size_t>(
+      settings.Get(kMemory) * kBytesPerMegabyte * kReplyMemoryShare);
   config.log_lines_per_second =
       static_cast<int>(settings.Get(kLogLinesPerSecond));
   config.log_level = settings.Get(kLogLevel);
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -22,6 +22,8 @@
   // Time from the stop signal until the process is killed.
   Duration drain_grace{};
   std::size_t max_connections = 0;
+  // Limit on the replies of searchers that are being received.
+  std::size_t max_reply_memory = std::size_t{64} << 20U;
   int log_lines_per_second = 0;
   LogLevel log_level = LogLevel::kInfo;
   DispatchOptions dispatch;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include "http/parser_input.h"
+
 namespace jujubecove {
 namespace {
 
@@ -12,7 +14,14 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+// Also limits the other parts that a parser takes as a whole: the head of a
+// chunk with its extensions, and the trailers.
 constexpr std::uint32_t kMaxReplyHeaderBytes = 32768;
+// Framing may take as many bytes as the body.
+constexpr std::size_t kExchangeBytesPerBodyByte = 2;
+// Servers have no reason to send more of them for one request.
+constexpr int kMaxInterimReplies = 8;
+constexpr int kMaxSkippedReplies = 4;
 
 std::optional<Duration> ParseKeepAliveTimeout(std::string_view value) {
   constexpr std::string_view kKey = "timeout=";
@@ -31,8 +40,14 @@
 }  // namespace
 
 ClientConnection::ClientConnection(boost::asio::io_context& context,
-                                   std::size_t max_reply_bytes)
-    : socket_(context), max_reply_bytes_(max_reply_bytes) {}
+                                   std::size_t max_reply_bytes,
+                                   ReplyBudget* budget)
+    : socket_(context), max_reply_bytes_(max_reply_bytes), budget_(budget) {}
+
+ClientConnection::~ClientConnection() {
+  if (budget_ != nullptr)
+    budget_->Release(*this);
+}
 
 void ClientConnection::Connect(const SocketAddress& address,
                                Callbacks callbacks) {
@@ -65,6 +80,8 @@
   head_ = std::move(head);
   body_ = std::move(body);
   parser_.reset();
+  exchange_bytes_ = 0;
+  interim_replies_ = 0;
   std::array<boost::asio::const_buffer, 2> buffers = {
       boost::asio::buffer(head_),
       body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
@@ -80,10 +97,17 @@
 void ClientConnection::Close() {
   state_ = State::kClosed;
   callbacks_ = Callbacks();
+  parser_.reset();
+  if (budget_ != nullptr)
+    budget_->Release(*this);
   error_code ignored;
   socket_.close(ignored);
 }
 
+void ClientConnection::OnEvicted() {
+  FailExchange("the replies of all searchers take too much memory");
+}
+
 void ClientConnection::Read() {
   std::shared_ptr<ClientConnection> self = shared_from_this();
   socket_.async_read_some(buffer_.prepare(kReadBytes),
@@ -104,28 +128,50 @@
     OnReadError(ec);
     return;
   }
+  exchange_bytes_ += size;
   ParseBuffered();
+  if (state_ == State::kBusy && !CheckLimits())
+    return;
   if (state_ == State::kBusy || state_ == State::kIdle)
     Read();
 }
 
+bool ClientConnection::CheckLimits() {
+  bool too_long =
+      exchange_bytes_ > kExchangeBytesPerBodyByte * max_reply_bytes_ ||
+      buffer_.size() > kMaxReplyHeaderBytes;
+  if (too_long || interim_replies_ > kMaxInterimReplies ||
+      skipped_replies_ > kMaxSkippedReplies) {
+    FailExchange(too_long ? "the reply is too long"
+                          : "too many replies for one request");
+    return false;
+  }
+  if (budget_ != nullptr)
+    budget_->Update(*this, exchange_bytes_);
+  return state_ == State::kBusy;
+}
+
+void ClientConnection::StartParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaxReplyHeaderBytes);
+  parser_->body_limit(max_reply_bytes_);
+  parser_->skip(is_head_);
+}
+
 void ClientConnection::ParseBuffered() {
   while (state_ == State::kBusy && buffer_.size() > 0) {
-    if (!parser_) {
-      parser_.emplace();
-      parser_->eager(true);
-      parser_->header_limit(kMaxReplyHeaderBytes);
-      parser_->body_limit(max_reply_bytes_);
-      parser_->skip(is_head_);
-    }
+    if (!parser_)
+      StartParser();
+    if (!CanParse(*parser_, buffer_.size()))
+      return;
     error_code ec;
     std::size_t used = parser_->put(buffer_.data(), ec);
     buffer_.consume(used);
     if (ec == http::error::need_more)
       return;
     if (ec) {
-      Finish({.written = true, .failure = "malformed reply: " + ec.message()},
-             false);
+      FailExchange("malformed reply: " + ec.message());
       return;
     }
     if (parser_->is_done())
@@ -155,22 +201,22 @@
 void ClientConnection::OnReplyComplete() {
   constexpr int kFirstFinalStatus = 200;
   WireReply reply = TakeReply();
-  if (reply.status < kFirstFinalStatus)
+  if (reply.status < kFirstFinalStatus) {
+    ++interim_replies_;
     return;
-  bool matches =
-      !callbacks_.matches_request || callbacks_.matches_request(reply);
-  if (!matches) {
-    foreign_reply_seen_ = true;
-    if (!reply.keep_alive) {
-      Finish({.written = true, .failure = "only a reply to another request"},
-             false);
-    }
+  }
+  ReplyUse use = callbacks_.classify_reply ? callbacks_.classify_reply(reply)
+                                           : ReplyUse::kAccept;
+  if (use == ReplyUse::kSkip) {
+    ++skipped_replies_;
+    if (!reply.keep_alive)
+      FailExchange("only a reply to another request");
     return;
   }
   // If the request is still being written, the server would read its rest as
   // the start of the next request.
-  bool keep = reply.keep_alive && !foreign_reply_seen_ && !writing_ &&
-              buffer_.size() == 0;
+  bool keep = reply.keep_alive && use == ReplyUse::kAccept &&
+              skipped_replies_ == 0 && !writing_ && buffer_.size() == 0;
   Finish({.reply = std::move(reply), .written = true}, keep);
 }
 
@@ -183,19 +229,23 @@
     if (!ignored && parser_->is_done()) {
       OnReplyComplete();
       if (state_ == State::kBusy)
-        Finish({.written = true, .failure = "closed before the reply"}, false);
+        FailExchange("closed before the reply");
       return;
     }
   }
   std::string where = parser_ ? "within the reply" : "before the reply";
-  Finish({.written = true,
-          .failure = "connection ended " + where + ": " + ec.message()},
-         false);
+  FailExchange("connection ended " + where + ": " + ec.message());
+}
+
+void ClientConnection::FailExchange(const std::string& reason) {
+  Finish({.written = true, .failure = reason}, false);
 }
 
 void ClientConnection::Finish(HttpExchange exchange, bool keep) {
   parser_.reset();
   std::function<void(HttpExchange)> finished = callbacks_.finished;
+  if (budget_ != nullptr)
+    budget_->Release(*this);
   if (keep)
     state_ = State::kIdle;
   else
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -14,6 +14,7 @@
 
 #include "base/units.h"
 #include "http/header_field.h"
+#include "http/reply_budget.h"
 #include "settings/socket_address.h"
 
 namespace jujubecove {
@@ -36,10 +37,23 @@
   std::string failure;
 };
 
+// What a connection does with a complete reply.
+enum class ReplyUse : std::uint8_t {
+  kAccept,
+  // Accepts it, but the connection can't carry another request.
+  kAcceptAndClose,
+  // The reply belongs to another request. It is dropped, and the connection is
+  // closed after the exchange.
+  kSkip,
+};
+
 // One TCP connection to an HTTP/1.1 server with at most one request at a time.
 // It always reads, to detect a close, a reset or unsolicited bytes while idle.
 // The owner handles timeouts by calling Close, after which no callback runs.
-class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+// Bytes, interim replies and skipped replies of one exchange are limited, and
+// so are the bytes that are taken from the socket at a time.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
+                         private ReplyBudget::Holder {
  public:
   enum class State : std::uint8_t { kConnecting, kIdle, kBusy, kClosed };
 
@@ -51,14 +65,19 @@
     std::function<void(const std::string& reason)> closed;
     // Called exactly once per request. The connection is then idle or closed.
     std::function<void(HttpExchange)> finished;
-    // Whether a reply belongs to the request in progress. Other replies are
-    // dropped, and the connection is closed after the exchange.
-    std::function<bool(const WireReply&)> matches_request;
+    // Decides on each complete reply to the request in progress. Without it,
+    // all are accepted.
+    std::function<ReplyUse(const WireReply&)> classify_reply;
   };
 
-  // A reply with a larger body ends the exchange with a failure.
+  // A reply with a larger body ends the exchange with a failure. Replies that
+  // are being received count towards `budget`, if it is given.
   ClientConnection(boost::asio::io_context& context,
-                   std::size_t max_reply_bytes);
+                   std::size_t max_reply_bytes,
+                   ReplyBudget* budget = nullptr);
+  ~ClientConnection() override;
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
 
   void Connect(const SocketAddress& address, Callbacks callbacks);
   // Precondition: idle. `is_head` is set for HEAD requests, whose replies have
@@ -76,13 +95,19 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  void OnEvicted() override;
   void Read();
   void OnRead(const boost::system::error_code& ec, std::size_t size);
   void ParseBuffered();
+  void StartParser();
+  // Ends the exchange if the server has sent more than one exchange may take.
+  // Returns whether it goes on.
+  bool CheckLimits();
   void OnReplyComplete();
   WireReply TakeReply();
   void OnReadError(const boost::system::error_code& ec);
   void Finish(HttpExchange exchange, bool keep);
+  void FailExchange(const std::string& reason);
   void Fail(std::function<void(const std::string&)> handler,
             const std::string& reason);
 
@@ -91,13 +116,17 @@
 
   boost::asio::ip::tcp::socket socket_;
   std::size_t max_reply_bytes_;
+  ReplyBudget* budget_;
   Callbacks callbacks_;
   State state_ = State::kConnecting;
   // While set, the pending write uses head_ and body_.
   bool writing_ = false;
   bool is_head_ = false;
-  // A reply to another request arrived; the connection can't be reused.
-  bool foreign_reply_seen_ = false;
+  // Bytes, interim replies and skipped replies of the current exchange. A
+  // connection with a skipped reply can't be reused.
+  std::size_t exchange_bytes_ = 0;
+  int interim_replies_ = 0;
+  int skipped_replies_ = 0;
   std::string head_;
   std::shared_ptr<const std::string> body_;
   std::optional<Parser> parser_;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -112,7 +112,7 @@
                        if (CallPtr call = find())
                          Finish(call, std::move(exchange.reply));
                      },
-                 .matches_request = nullptr});
+                 .classify_reply = nullptr});
 }
 
 void HttpClient::Send(const CallPtr& call) {
--- a/src/platform/http_protocol.cc
+++ b/src/platform/http_protocol.cc
@@ -1,7 +1,10 @@
 #include "platform/http_protocol.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
+#include <chrono>
 #include <cstdio>
 #include <utility>
 
@@ -13,15 +16,16 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kMisdirectedRequest = 421;
+constexpr int kServiceUnavailable = 503;
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
 
-std::optional<std::int64_t> ParseInteger(std::string_view text) {
-  std::int64_t value = 0;
-  auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return value;
-}
+// Longer than any request takes. Larger deadlines are reduced to it.
+constexpr std::int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
+// Longer values of Retry-After are reduced to it, so that a faulty searcher is
+// not lost for good.
+constexpr double kMaxRetryAfterSeconds = 600.0;
+// Larger figures are not a load.
+constexpr std::int64_t kMaxReportedLoad = 1'000'000;
 
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && text.front() == ' ')
@@ -31,13 +35,44 @@
   return text;
 }
 
+// Parses a decimal integer that takes up the whole text. One that is out of
+// range becomes `min` or `max`.
+std::optional<std::int64_t> ParseClamped(std::string_view text,
+                                         std::int64_t min,
+                                         std::int64_t max) {
+  std::int64_t value = 0;
+  const char* last = text.data() + text.size();
+  auto [end, error] = std::from_chars(text.data(), last, value);
+  if (text.empty() || end != last || error == std::errc::invalid_argument)
+    return std::nullopt;
+  if (error == std::errc::result_out_of_range)
+    return text.front() == '-' ? min : max;
+  return std::clamp(value, min, max);
+}
+
+// Parses seconds with or without a fraction, without sign or exponent.
+std::optional<Duration> ParseSeconds(std::string_view text) {
+  text = Trim(text);
+  double seconds = 0.0;
+  const char* last = text.data() + text.size();
+  auto [end, error] =
+      std::from_chars(text.data(), last, seconds, std::chars_format::fixed);
+  if (text.empty() || end != last ||
+      std::isdigit(static_cast<unsigned char>(text.front())) == 0)
+    return std::nullopt;
+  if (error == std::errc::result_out_of_range)
+    seconds = kMaxRetryAfterSeconds;
+  return std::chrono::ceil<Duration>(
+      std::chrono::duration<double>(std::min(seconds, kMaxRetryAfterSeconds)));
+}
+
 std::optional<ReportedLoad> ParseLoad(std::string_view text) {
   ReportedLoad load;
   for (int* field : {&load.running, &load.waiting, &load.slots}) {
     std::size_t comma = text.find(',');
     std::optional<std::int64_t> value =
-        ParseInteger(Trim(text.substr(0, comma)));
-    if (!value || *value < 0)
+        ParseClamped(Trim(text.substr(0, comma)), -1, kMaxReportedLoad + 1);
+    if (!value || *value < 0 || *value > kMaxReportedLoad)
       return std::nullopt;
     *field = static_cast<int>(*value);
     text.remove_prefix(comma == std::string_view::npos ? text.size()
@@ -88,8 +123,9 @@
   out.host = FindHeader(request.headers, "Host");
   if (out.id.empty())
     return Error{ErrorKind::kBadRequest, "the request has no id"};
-  std::string_view deadline = FindHeader(request.headers, kDeadlineMs);
-  if (std::optional<std::int64_t> ms = ParseInteger(Trim(deadline)))
+  std::string_view deadline = Trim(FindHeader(request.headers, kDeadlineMs));
+  if (std::optional<std::int64_t> ms =
+          ParseClamped(deadline, 0, kMaxDeadlineMs))
     out.deadline = std::chrono::milliseconds(*ms);
   out.method = std::move(request.method);
   out.target = std::move(request.target);
@@ -133,8 +169,7 @@
   AddField(head, "Host", request.host);
   for (const HeaderField& it : request.headers)
     AddField(head, it.name, it.value);
-  AddField(head, kDeadlineMs,
-           std::to_string(remaining / std::chrono::milliseconds(1)));
+  AddField(head, kDeadlineMs, std::to_string(remaining / kMillisecond));
   AddField(head, kExpectInstance, instance.value());
   bool expects_body = request.method != "GET" && request.method != "HEAD";
   if (request.body || expects_body) {
@@ -145,11 +180,18 @@
   return head;
 }
 
-bool PlatformSearcherProtocol::IsReplyTo(
+ReplyOwner PlatformSearcherProtocol::OwnerOf(
     const WireReply& reply,
     const ForwardedRequest& request) const {
-  std::string_view id = FindHeader(reply.headers, kRequestId);
-  return id.empty() || id == request.id;
+  int ids = 0;
+  for (const HeaderField& it : reply.headers) {
+    if (!SameHeaderName(it.name, kRequestId) || it.value.empty())
+      continue;
+    if (it.value != request.id)
+      return ReplyOwner::kOtherRequest;
+    ++ids;
+  }
+  return ids == 1 ? ReplyOwner::kThisRequest : ReplyOwner::kUnidentified;
 }
 
 AttemptReply PlatformSearcherProtocol::DecodeReply(WireReply reply) const {
@@ -157,6 +199,10 @@
   out.status = reply.status;
   out.proof = FindHeader(reply.headers, kResponseStamp);
   out.load = ParseLoad(FindHeader(reply.headers, kServerLoad));
+  std::string_view leaving = Trim(FindHeader(reply.headers, kServerLeaving));
+  out.leaving = !leaving.empty() && leaving != "0";
+  if (reply.status == kServiceUnavailable)
+    out.retry_after = ParseSeconds(FindHeader(reply.headers, kRetryAfter));
   bool not_run = !FindHeader(reply.headers, kNotExecuted).empty();
   bool success = reply.status >= kFirstSuccess && reply.status < kFirstRedirect;
   if (reply.status == kMisdirectedRequest) {
@@ -165,6 +211,10 @@
   } else if (not_run) {
     out.outcome = AttemptResult::kRejected;
     out.failure = "refused with status " + std::to_string(reply.status);
+    if (out.retry_after) {
+      out.failure += ", wants no requests for " +
+                     std::to_string(*out.retry_after / kMillisecond) + " ms";
+    }
   } else if (!FindHeader(reply.headers, "Content-Encoding").empty()) {
     out.outcome = AttemptResult::kBroken;
     out.failure = "the body is encoded";
--- a/src/platform/http_protocol.h
+++ b/src/platform/http_protocol.h
@@ -20,8 +20,8 @@
   std::string EncodeHead(const ForwardedRequest& request,
                          const InstanceId& instance,
                          Duration remaining) const override;
-  bool IsReplyTo(const WireReply& reply,
-                 const ForwardedRequest& request) const override;
+  ReplyOwner OwnerOf(const WireReply& reply,
+                     const ForwardedRequest& request) const override;
   AttemptReply DecodeReply(WireReply reply) const override;
 };
 
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -15,7 +15,11 @@
 inline constexpr char kServerLoad[] = "Server-Load";
 // Present if the searcher rejected the request without running it.
 inline constexpr char kNotExecuted[] = "Not-Executed";
+// In an answer to a caller, when it may ask again. In a searcher's refusal, how
+// long it wants no request from this VM.
 inline constexpr char kRetryAfter[] = "Retry-After";
+// Present in all replies of a searcher that is about to leave.
+inline constexpr char kServerLeaving[] = "Server-Leaving";
 inline constexpr char kPartStamps[] = "Part-Stamps";
 // Number of shards missing from a merged answer.
 inline constexpr char kMissingParts[] = "Missing-Parts";
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -68,7 +68,7 @@
        .closed = [](const std::string&) {},
        .finished =
            [this](HttpExchange exchange) { OnFinished(std::move(exchange)); },
-       .matches_request = [](const WireReply&) { return true; }});
+       .classify_reply = nullptr});
 }
 
 CallerRequest SoakCaller::MakeRequest() {
--- a/tests/standin/platform_searcher.cc
+++ b/tests/standin/platform_searcher.cc
@@ -51,12 +51,17 @@
     std::string id(request_[platform::kRequestId]);
     response_.set(platform::kRequestId, id);
     response_.set(platform::kServerLoad, "0,0,2");
+    ++state_->arrivals;
+    if (state_->leaving)
+      response_.set(platform::kServerLeaving, "1");
     if (request_[platform::kExpectInstance] != state_->id) {
       response_.result(http::status::misdirected_request);
       Write();
-    } else if (state_->refusing) {
+    } else if (state_->refusing || state_->push_back) {
       response_.result(http::status::service_unavailable);
       response_.set(platform::kNotExecuted, "1");
+      if (state_->push_back)
+        response_.set(platform::kRetryAfter, *state_->push_back);
       Write();
     } else {
       ++state_->runs;
@@ -127,7 +132,7 @@
       {"State", state == SearcherState::kReady ? "ready" : "draining"},
       {"WarmupLeftMs", 0},
       {"Sequence", ++state_->heartbeat},
-      {"born", 1}};
+      {"born", state_->born}};
   return boost::json::serialize(entry);
 }
 
--- a/tests/standin/platform_searcher.h
+++ b/tests/standin/platform_searcher.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,19 @@
   void set_service_time(Duration time) { state_->service_time = time; }
   // While set, every request is refused as not run.
   void set_refusing(bool refusing) { state_->refusing = refusing; }
+  // While set, every request is refused as not run, and the searcher asks for
+  // no requests for so long.
+  void set_push_back(std::optional<std::string> seconds) {
+    state_->push_back = std::move(seconds);
+  }
+  // While set, every reply says that the searcher is leaving.
+  void set_leaving(bool leaving) { state_->leaving = leaving; }
+  // Starts a new incarnation with the same id.
+  void Restart() {
+    ++state_->born;
+    state_->heartbeat = 0;
+    state_->leaving = false;
+  }
   // While set, requests run but their connections are closed without a reply.
   void set_losing_replies(bool losing) { state_->losing_replies = losing; }
   // Port to register instead of port(), for instance that of a proxy.
@@ -54,6 +69,7 @@
   const std::string& id() const { return state_->id; }
   const std::string& service() const { return state_->service; }
   int runs() const { return state_->runs; }
+  int arrivals() const { return state_->arrivals; }
   // The body of every reply of this searcher.
   static std::string RecordsOf(const std::string& searcher);
 
@@ -66,7 +82,12 @@
     bool refusing = false;
     bool losing_replies = false;
     std::function<void(const SearcherRun&)> observer;
-    int runs = 0;
+    std::optional<std::string> push_back;
+    std::atomic<bool> leaving = false;
+    std::atomic<int> runs = 0;
+    // Including refused requests.
+    std::atomic<int> arrivals = 0;
+    int born = 1;
     int heartbeat = 0;
   };
 
--- a/tests/standin/scripted_server.cc
+++ b/tests/standin/scripted_server.cc
@@ -1,6 +1,7 @@
 #include "tests/standin/scripted_server.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -89,7 +90,35 @@
       connection->socket.close(ignored);
       return;
     }
+    Stream(connection, std::make_shared<const Reaction>(std::move(reaction)),
+           0);
   }
 }
 
+void ScriptedServer::Stream(const std::shared_ptr<Connection>& connection,
+                            const std::shared_ptr<const Reaction>& reaction,
+                            std::size_t piece) {
+  const Piece& next = piece < reaction->pieces.size() ? reaction->pieces[piece]
+                                                      : reaction->repeated;
+  if (next.bytes.empty())
+    return;
+  // Reactions to different requests on a connection may overlap.
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+  timer->expires_after(next.delay);
+  timer->async_wait(
+      [this, connection, reaction, piece, timer, &next](const error_code& ec) {
+        if (ec || !connection->socket.is_open())
+          return;
+        boost::asio::async_write(connection->socket,
+                                 boost::asio::buffer(next.bytes),
+                                 [this, connection, reaction, piece](
+                                     const error_code& ec, std::size_t size) {
+                                   if (ec)
+                                     return;
+                                   streamed_bytes_ += size;
+                                   Stream(connection, reaction, piece + 1);
+                                 });
+      });
+}
+
 }  // namespace jujubecove
--- a/tests/unit/discovery/searcher_registry_test.cc
+++ b/tests/unit/discovery/searcher_registry_test.cc
@@ -61,6 +61,41 @@
 }
 
 // Guards against confusing a restarted searcher with its predecessor.
+// A searcher that says in a reply that it is leaving must stay out, whatever
+// its registration says, until it has restarted.
+TEST_F(SearcherRegistryTest, LeavingIncarnationIsNeverReadyAgain) {
+  SearcherEntry entry = MakeEntry("i-1", 100, 1);
+  registry_.Put(entry);
+  TakeChanges();
+  registry_.MarkLeaving(entry);
+  registry_.MarkLeaving(entry);
+  EXPECT_EQ(TakeChanges(), Changes{"draining i-1"});
+  EXPECT_EQ(registry_.ready_count(), 0U);
+  registry_.Put(MakeEntry("i-1", 100, 2));
+  registry_.Remove(entry.id);
+  registry_.Put(MakeEntry("i-1", 100, 3));
+  registry_.DeferRemovalsUntil(timers_.Now() + seconds(2));
+  registry_.BeginListing();
+  registry_.Put(MakeEntry("i-1", 100, 4));
+  registry_.EndListing();
+  timers_.AdvanceBy(seconds(3));
+  EXPECT_EQ(TakeChanges(), Changes{"gone i-1"});
+  EXPECT_EQ(registry_.ready_count(), 0U);
+  registry_.Put(MakeEntry("i-1", 101, 1));
+  EXPECT_EQ(TakeChanges(), (Changes{"gone i-1", "added i-1"}));
+  EXPECT_EQ(registry_.ready_count(), 1U);
+}
+
+// A late reply of an earlier incarnation says nothing about the present one.
+TEST_F(SearcherRegistryTest, LeavingOfEarlierIncarnationIsIgnored) {
+  registry_.Put(MakeEntry("i-1", 101, 1));
+  TakeChanges();
+  registry_.MarkLeaving(MakeEntry("i-1", 100, 7));
+  registry_.MarkLeaving(MakeEntry("i-2", 100, 7));
+  EXPECT_TRUE(TakeChanges().empty());
+  EXPECT_EQ(registry_.ready_count(), 1U);
+}
+
 TEST_F(SearcherRegistryTest, RestartWithSameIdIsNewSearcher) {
   SearcherEntry draining = MakeEntry("s", 100, 50);
   draining.state = SearcherState::kDraining;
--- a/tests/unit/dispatch/fake_searcher_transport.h
+++ b/tests/unit/dispatch/fake_searcher_transport.h
@@ -40,6 +40,16 @@
   void SetConnectionLimit(const SearcherEntry& searcher, int limit) override {
     limits_[searcher.id.value()] = limit;
   }
+  // Returns the attempts at that searcher if attempts get no connection.
+  void ReturnQueued(const InstanceId& searcher,
+                    const std::string& reason) override {
+    if (writes_)
+      return;
+    AttemptReply reply = Failure(AttemptResult::kNotSent);
+    reply.failure = reason;
+    while (Answer(searcher.value(), reply)) {
+    }
+  }
   void Retire(const InstanceId&) override {}
 
   // Answers the oldest attempt at that searcher. Returns whether there was one.
--- a/tests/unit/egress/searcher_transport_test.cc
+++ b/tests/unit/egress/searcher_transport_test.cc
@@ -1,14 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <boost/asio/io_context.hpp>
-#include <map>
-#include <optional>
 #include <vector>
 
-#include "egress/http_searcher_transport.h"
-#include "kernel/asio_timer_service.h"
-#include "platform/http_protocol.h"
-#include "tests/standin/scripted_server.h"
+#include "tests/unit/egress/searcher_transport_fixture.h"
 
 namespace jujubecove {
 namespace {
@@ -16,66 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kGoodReply[] =
-    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: proof\r\n"
-    "Content-Length: 4\r\n\r\nbody";
-
-class SearcherTransportTest : public testing::Test {
- protected:
-  SearcherTransportTest()
-      : timers_(context_), transport_(context_, timers_, protocol_) {}
-
-  void Serve(ScriptedServer::Script script) {
-    server_.emplace(context_, std::move(script));
-    searcher_.id = InstanceId("i-1");
-    searcher_.service = ServiceName("service");
-    searcher_.address = server_->address();
-    transport_.SetConnectionLimit(searcher_, 2);
-  }
-
-  void Send(std::uint64_t attempt,
-            const std::string& id = "r1",
-            Duration write_deadline = seconds(5),
-            bool idempotent = true) {
-    auto request = std::make_shared<ForwardedRequest>();
-    request->id = id;
-    request->method = "GET";
-    request->target = "/path?query";
-    request->host = "host.example";
-    request->headers = {{"Request-Id", id}, {"Accept", "x"}};
-    TimePoint now = timers_.Now();
-    transport_.Send(AttemptId(attempt), searcher_, request,
-                    {now + seconds(5), now + write_deadline,
-                     now + write_deadline, idempotent},
-                    [this, attempt](AttemptReply reply) {
-                      replies_.emplace(attempt, std::move(reply));
-                    });
-  }
-
-  // Runs until the attempt has ended. Returns false if it does not end.
-  bool Await(std::uint64_t attempt) {
-    TimePoint limit = timers_.Now() + seconds(10);
-    while (!replies_.contains(attempt) && timers_.Now() < limit)
-      context_.run_one_for(milliseconds(20));
-    return replies_.contains(attempt);
-  }
-  void RunFor(Duration time) {
-    TimePoint limit = timers_.Now() + time;
-    while (timers_.Now() < limit)
-      context_.run_one_for(milliseconds(5));
-  }
-  const AttemptReply& Reply(std::uint64_t attempt) {
-    return replies_.at(attempt);
-  }
-
-  boost::asio::io_context context_;
-  AsioTimerService timers_;
-  platform::PlatformSearcherProtocol protocol_;
-  std::optional<ScriptedServer> server_;
-  HttpSearcherTransport transport_;
-  SearcherEntry searcher_;
-  std::map<std::uint64_t, AttemptReply> replies_;
-};
+class SearcherTransportTest : public SearcherTransportFixture {};
 
 TEST_F(SearcherTransportTest, SendsRequestUnchangedAndReusesConnection) {
   std::vector<std::string> heads;
@@ -132,7 +67,8 @@
         ReplyCase{"Proper", kGoodReply, false, false, AttemptResult::kSuccess,
                   true},
         ReplyCase{"Truncated",
-                  "HTTP/1.1 200 OK\r\nResponse-Stamp: p\r\n"
+                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n"
                   "Content-Length: 9\r\n\r\nbody",
                   true, false, AttemptResult::kBroken, false},
         ReplyCase{"Garbage", "nonsense\r\n\r\n", false, false,
@@ -140,39 +76,60 @@
         ReplyCase{"ExtraBytes", std::string(kGoodReply) + "extra", false, false,
                   AttemptResult::kSuccess, false},
         ReplyCase{"EndsWithTheConnection",
-                  "HTTP/1.1 200 OK\r\nResponse-Stamp: p\r\n\r\nbody", true,
-                  false, AttemptResult::kSuccess, false},
+                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n\r\nbody",
+                  true, false, AttemptResult::kSuccess, false},
         ReplyCase{"ResetWithoutLength",
-                  "HTTP/1.1 200 OK\r\nResponse-Stamp: p\r\n\r\nbody", false,
-                  true, AttemptResult::kBroken, false},
-        ReplyCase{"NoProof", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n\r\nbody",
+                  false, true, AttemptResult::kBroken, false},
+        // Without an id, a later copy of the reply could not be told from the
+        // reply to the next request.
+        ReplyCase{"NoId",
+                  "HTTP/1.1 200 OK\r\nResponse-Stamp: p\r\n"
+                  "Content-Length: 0\r\n\r\n",
+                  false, false, AttemptResult::kSuccess, false},
+        ReplyCase{"RefusedWithoutId",
+                  "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                  "Content-Length: 0\r\n\r\n",
+                  false, false, AttemptResult::kRejected, false},
+        ReplyCase{"NoProof",
+                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                  "Content-Length: 0\r\n\r\n",
                   false, false, AttemptResult::kBroken, true},
         ReplyCase{"Encoded",
-                  "HTTP/1.1 200 OK\r\nResponse-Stamp: p\r\n"
+                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n"
                   "Content-Encoding: gzip\r\nContent-Length: 0\r\n\r\n",
                   false, false, AttemptResult::kBroken, true},
         ReplyCase{"Refused",
-                  "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                  "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\n"
+                  "Not-Executed: 1\r\n"
                   "Content-Length: 0\r\n\r\n",
                   false, false, AttemptResult::kRejected, true},
         ReplyCase{"AnotherInstance",
-                  "HTTP/1.1 421 No\r\nInstance-Id: i-2\r\n"
+                  "HTTP/1.1 421 No\r\nRequest-Id: r1\r\n"
+                  "Instance-Id: i-2\r\n"
                   "Content-Length: 0\r\n\r\n",
                   false, false, AttemptResult::kWrongInstance, true},
         ReplyCase{"Failure",
-                  "HTTP/1.1 500 No\r\nResponse-Stamp: p\r\n"
+                  "HTTP/1.1 500 No\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n"
                   "Content-Length: 0\r\n\r\n",
                   false, false, AttemptResult::kFailure, true},
         ReplyCase{"UnavailableAfterRunning",
-                  "HTTP/1.1 503 No\r\nResponse-Stamp: p\r\n"
+                  "HTTP/1.1 503 No\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n"
                   "Content-Length: 0\r\n\r\n",
                   false, false, AttemptResult::kFailure, true},
         ReplyCase{"ClosingConnection",
-                  "HTTP/1.1 200 OK\r\nResponse-Stamp: p\r\n"
+                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n"
                   "Connection: close\r\nContent-Length: 0\r\n\r\n",
                   false, false, AttemptResult::kSuccess, false},
         ReplyCase{"Chunked",
-                  "HTTP/1.1 200 OK\r\nResponse-Stamp: p\r\n"
+                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                  "Response-Stamp: p\r\n"
                   "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
                   false, false, AttemptResult::kSuccess, true}),
     [](const auto& info) { return info.param.name; });
@@ -225,10 +182,10 @@
   ASSERT_TRUE(Await(2));
   EXPECT_EQ(server_->accepted(), 1);
   RunFor(milliseconds(600));
-  Send(3, "r1", seconds(5), false);
+  Send(3, "r3", seconds(5), false);
   ASSERT_TRUE(Await(3));
   EXPECT_EQ(server_->accepted(), 2);
-  Send(4, "r1", seconds(5), false);
+  Send(4, "r4", seconds(5), false);
   ASSERT_TRUE(Await(4));
   EXPECT_EQ(server_->accepted(), 2);
 }
@@ -248,7 +205,7 @@
   Send(1);
   Send(2);
   RunFor(milliseconds(30));
-  Send(3, "r1", milliseconds(60));
+  Send(3, "r3", milliseconds(60));
   ASSERT_TRUE(Await(3));
   EXPECT_EQ(Reply(3).outcome, AttemptResult::kNotSent);
   EXPECT_FALSE(replies_.contains(1));
@@ -272,6 +229,22 @@
   EXPECT_EQ(server_->accepted(), 2);
 }
 
+// Attempts that wait for a connection must not reach a searcher that accepts no
+// new requests.
+TEST_F(SearcherTransportTest, RetireReturnsQueuedAttempts) {
+  Serve([](const std::string&) { return ScriptedServer::Reaction{}; });
+  Send(1);
+  Send(2);
+  RunFor(milliseconds(50));
+  Send(3);
+  transport_.Retire(searcher_.id);
+  RunFor(milliseconds(50));
+  ASSERT_TRUE(replies_.contains(3));
+  EXPECT_EQ(Reply(3).outcome, AttemptResult::kNotSent);
+  EXPECT_TRUE(transport_.IsWritten(AttemptId(1)));
+  EXPECT_TRUE(transport_.IsWritten(AttemptId(2)));
+}
+
 // A retired searcher gets no new requests, but its running attempt must not be
 // aborted.
 TEST_F(SearcherTransportTest, RetiredSearcherFinishesRunningAttempt) {
--- a/tests/unit/front/front_settings_test.cc
+++ b/tests/unit/front/front_settings_test.cc
@@ -67,6 +67,7 @@
        {std::pair<std::string, std::string>{"{{NodeName}}", "front-1"},
         {"{{Zone}}", "nyeri"},
         {"{{Limits.MaxFds}}", "8200"},
+        {"{{Limits.MemoryMb}}", "410.5"},
         {"{{Listen.Front}}", "10.1.0.1:80"},
         {"{{Listen.Ready}}", "10.1.0.1:81"},
         {"{{Ip}}", "10.1.0.1"},
@@ -86,5 +87,15 @@
   EXPECT_TRUE(faults.empty());
 }
 
+// Guards against replies that take the whole memory of a VM.
+TEST(FrontSettingsTest, LimitsReplyMemoryToPartOfMemory) {
+  std::vector<SettingFault> faults;
+  std::string text = kValid;
+  text.insert(text.find("[listen]"), "memory_mb = 400\n");
+  FrontConfig config = Load(text, faults);
+  EXPECT_TRUE(faults.empty());
+  EXPECT_EQ(config.max_reply_memory, std::size_t{50} << 20U);
+}
+
 }  // namespace
 }  // namespace jujubecove
