Avoid unreachable availability zones, and leave the rotation when isolated

The balancer turns to other zones only when no VM of a zone is ready, and all stayed ready.

Change: ZoneReachability infers from several searchers without an answer, and no answer from their zone since, that the zone is unreachable; its searchers count as suspect and attempts that wait for connections to them go elsewhere. A VM that reaches no other zone, and can't serve a route because of it, refuses such requests at once (503, not run), answers its readiness check with 503 and closes callers' connections after their answers.

--- a/src/dispatch/attempt_launcher.cc
+++ b/src/dispatch/attempt_launcher.cc
@@ -38,11 +38,22 @@
   attempt.searcher->health.OnReply(id, reply, attempt.latency->typical(), now);
   if (reply.outcome == AttemptResult::kSuccess)
     attempt.latency->Observe(now - attempt.sent_at);
+  UpdateReachability(attempt, reply, now);
   OnRequestsUnwanted(*attempt.searcher, reply);
   if (attempt.done)
     attempt.done(id, std::move(reply));
 }
 
+void AttemptLauncher::UpdateReachability(const Attempt& attempt,
+                                         const AttemptReply& reply,
+                                         TimePoint now) {
+  const SearcherEntry& entry = attempt.searcher->entry;
+  if (reply.connect_failed)
+    zones_.OnNoReply(entry.zone, entry.id, attempt.sent_at, now);
+  else if (reply.status != 0)
+    zones_.OnReply(entry.zone, now);
+}
+
 void AttemptLauncher::OnRequestsUnwanted(const PooledSearcher& searcher,
                                          const AttemptReply& reply) {
   // Another searcher at the address speaks only for itself.
@@ -72,6 +83,21 @@
     it->second.done = nullptr;
 }
 
+bool AttemptLauncher::IsOverdue(const Attempt& attempt, TimePoint now) const {
+  Duration age = now - attempt.sent_at;
+  return age > kMinOverdueTime &&
+         age > attempt.latency->typical() * kOverdueFactor;
+}
+
+void AttemptLauncher::ReportIfOverdue(AttemptId id) {
+  auto it = attempts_.find(id);
+  TimePoint now = timers_.Now();
+  if (it == attempts_.end() || !IsOverdue(it->second, now))
+    return;
+  const SearcherEntry& entry = it->second.searcher->entry;
+  zones_.OnNoReply(entry.zone, entry.id, it->second.sent_at, now);
+}
+
 void AttemptLauncher::Cancel(AttemptId id) {
   auto it = attempts_.find(id);
   if (it == attempts_.end())
@@ -81,10 +107,11 @@
   transport_.Cancel(id);
   metrics_.CountCancelled();
   TimePoint now = timers_.Now();
-  Duration age = now - attempt.sent_at;
-  bool overdue = age > kMinOverdueTime &&
-                 age > attempt.latency->typical() * kOverdueFactor;
+  bool overdue = IsOverdue(attempt, now);
   attempt.searcher->health.OnCancelled(id, overdue, now);
+  const SearcherEntry& entry = attempt.searcher->entry;
+  if (overdue)
+    zones_.OnNoReply(entry.zone, entry.id, attempt.sent_at, now);
 }
 
 }  // namespace jujubecove
--- a/src/dispatch/attempt_launcher.h
+++ b/src/dispatch/attempt_launcher.h
@@ -21,8 +21,12 @@
 
   AttemptLauncher(TimerService& timers,
                   SearcherTransport& transport,
+                  ZoneReachability& zones,
                   DispatchMetrics& metrics)
-      : timers_(timers), transport_(transport), metrics_(metrics) {}
+      : timers_(timers),
+        transport_(transport),
+        zones_(zones),
+        metrics_(metrics) {}
 
   AttemptId Launch(const PooledSearcherPtr& searcher,
                    const ForwardedRequestPtr& request,
@@ -39,6 +43,9 @@
   void SetLeavingHandler(LeavingHandler handler) {
     on_leaving_ = std::move(handler);
   }
+  // Tells the reachability of zones if the attempt has waited for its reply for
+  // much longer than usual.
+  void ReportIfOverdue(AttemptId attempt);
   bool IsWritten(AttemptId attempt) const {
     return transport_.IsWritten(attempt);
   }
@@ -52,13 +59,18 @@
   };
 
   void OnReply(AttemptId id, AttemptReply reply);
+  bool IsOverdue(const Attempt& attempt, TimePoint now) const;
   // Handles a reply in which the searcher asks for no more requests.
   void OnRequestsUnwanted(const PooledSearcher& searcher,
                           const AttemptReply& reply);
   void Cancel(AttemptId id);
+  void UpdateReachability(const Attempt& attempt,
+                          const AttemptReply& reply,
+                          TimePoint now);
 
   TimerService& timers_;
   SearcherTransport& transport_;
+  ZoneReachability& zones_;
   DispatchMetrics& metrics_;
   LeavingHandler on_leaving_;
   std::uint64_t last_id_ = 0;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -39,16 +39,27 @@
       process_start_(timers.Now()),
       random_(seed),
       metrics_(registry),
-      launcher_(timers, transport, metrics_),
+      zones_(options_.own_zone),
+      launcher_(timers, transport, zones_, metrics_),
       retry_advice_(random_),
-      context_{timers_, launcher_, random_, retry_advice_,
-               log_,    metrics_,  options_} {}
+      prober_(timers,
+              transport,
+              zones_,
+              random_,
+              [this](const ZoneName& zone) { return SearchersOf(zone); }),
+      context_{timers_, launcher_, random_,  retry_advice_,
+               zones_,  log_,      metrics_, options_} {
+  zones_.SetListener([this](const ZoneName& zone, bool reachable) {
+    OnZoneChange(zone, reachable);
+  });
+  prober_.Start();
+}
 
 std::shared_ptr<ServicePool> Dispatcher::GetOrCreatePool(
     const ServiceName& name) {
   std::shared_ptr<ServicePool>& pool = pools_[name];
   if (!pool) {
-    pool = std::make_shared<ServicePool>(name, options_.own_zone,
+    pool = std::make_shared<ServicePool>(name, options_.own_zone, zones_,
                                          options_.retry_budget, process_start_);
     pool->budget().set_fleet_size(fleet_size_);
   }
@@ -91,8 +102,10 @@
 
 void Dispatcher::AddSearcher(const SearcherEntry& entry) {
   std::shared_ptr<ServicePool> pool = GetOrCreatePool(entry.service);
-  if (pool->Find(entry.id) == nullptr)
+  if (pool->Find(entry.id) == nullptr) {
     ++ready_searchers_;
+    zones_.AddSearcher(entry.zone);
+  }
   PooledSearcherPtr searcher = TakeFormer(entry);
   if (!searcher) {
     searcher = std::make_shared<PooledSearcher>(PooledSearcher{
@@ -107,6 +120,7 @@
   PooledSearcherPtr searcher = pool->Find(entry.id);
   if (searcher) {
     --ready_searchers_;
+    zones_.RemoveSearcher(searcher->entry.zone);
     TimePoint now = timers_.Now();
     std::erase_if(former_, [now](const auto& it) {
       return now >= it.second->health.pushed_back_until();
@@ -131,6 +145,8 @@
   PooledSearcherPtr searcher = GetOrCreatePool(entry.service)->Find(entry.id);
   if (!searcher)
     return;
+  zones_.RemoveSearcher(searcher->entry.zone);
+  zones_.AddSearcher(entry.zone);
   searcher->entry = entry;
   searcher->health.set_slots(entry.slots);
   searcher->health.set_warmup_end(timers_.Now() + entry.warmup_left);
@@ -190,6 +206,58 @@
   ApplyConnectionLimits();
 }
 
+void Dispatcher::OnZoneChange(const ZoneName& zone, bool reachable) {
+  DecisionLine(log_, LogCategory::kMembership, DecisionPriority::kStateChange,
+               reachable ? "zone_reachable" : "zone_unreachable", timers_.Now())
+      .Add("zone", zone.value())
+      .Add("isolated", zones_.IsIsolated() ? "yes" : "no");
+  // Not from within the reply that is being handled.
+  if (!reachable)
+    timers_.ScheduleAfter(Duration(0), [this, zone] { ReturnQueued(zone); });
+}
+
+std::vector<SearcherEntry> Dispatcher::SearchersOf(const ZoneName& zone) const {
+  std::vector<SearcherEntry> searchers;
+  for (const auto& [name, pool] : pools_) {
+    for (const PooledSearcherPtr& it : pool->searchers()) {
+      if (it->entry.zone == zone)
+        searchers.push_back(it->entry);
+    }
+  }
+  return searchers;
+}
+
+void Dispatcher::ReturnQueued(const ZoneName& zone) {
+  for (const SearcherEntry& it : SearchersOf(zone))
+    transport_.ReturnQueued(it.id, "its availability zone can't be reached");
+}
+
+bool Dispatcher::CanServe(const Route& route, bool reachable_only) const {
+  auto has_searcher = [this, reachable_only](const ServiceName& name) {
+    auto it = pools_.find(name);
+    if (it == pools_.end())
+      return false;
+    return reachable_only ? it->second->HasReachable() : !it->second->empty();
+  };
+  if (!route.scatter) {
+    return std::all_of(
+        route.split.begin(), route.split.end(),
+        [&](const WeightedService& it) { return has_searcher(it.service); });
+  }
+  const std::vector<ServiceName>& shards = route.scatter->shards;
+  auto served = std::count_if(shards.begin(), shards.end(), has_searcher);
+  return static_cast<std::size_t>(served) >= route.scatter->RequiredShards();
+}
+
+bool Dispatcher::IsImpaired() const {
+  if (!table_ || !zones_.IsIsolated())
+    return false;
+  const std::vector<Route>& routes = table_->config().routes;
+  return std::any_of(routes.begin(), routes.end(), [this](const Route& it) {
+    return CanServe(it, false) && !CanServe(it, true);
+  });
+}
+
 Dispatcher::RunPtr Dispatcher::Submit(ForwardedRequestPtr request,
                                       AnswerHandler done) {
   const Route* route =
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 
 #include "discovery/searcher_registry.h"
 #include "dispatch/request_run.h"
+#include "dispatch/zone_prober.h"
 #include "route/traffic_splitter.h"
 
 namespace jujubecove {
@@ -44,6 +45,10 @@
   const RouteTablePtr& table() const { return table_; }
   std::size_t ready_searchers() const { return ready_searchers_; }
   int fleet_size() const { return fleet_size_; }
+  int unreachable_zones() const { return zones_.unreachable_count(); }
+  // Whether this VM is cut off from the other availability zones and can't
+  // serve all routes without them.
+  bool IsImpaired() const;
 
  private:
   std::shared_ptr<ServicePool> GetOrCreatePool(const ServiceName& name);
@@ -51,6 +56,11 @@
   std::shared_ptr<RequestRun> MakeRun(RoutedRequest routed, AnswerHandler done);
   RunPtr RefuseUnrouted(const ForwardedRequest& request,
                         const AnswerHandler& done);
+  void OnZoneChange(const ZoneName& zone, bool reachable);
+  // Returns the attempts that wait for connections to the zone.
+  void ReturnQueued(const ZoneName& zone);
+  std::vector<SearcherEntry> SearchersOf(const ZoneName& zone) const;
+  bool CanServe(const Route& route, bool reachable_only) const;
   void AddSearcher(const SearcherEntry& entry);
   void RemoveSearcher(const SearcherEntry& entry);
   // The earlier state of a searcher that still pushes back, or null.
@@ -66,8 +76,10 @@
   TimePoint process_start_;
   RandomEngine random_;
   DispatchMetrics metrics_;
+  ZoneReachability zones_;
   AttemptLauncher launcher_;
   RetryAdvice retry_advice_;
+  ZoneProber prober_;
   RunContext context_;
   RouteTablePtr table_;
   TrafficSplitter splitter_;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -21,11 +21,18 @@
   AttemptLauncher& launcher;
   RandomEngine& random;
   RetryAdvice& retry_advice;
+  const ZoneReachability& zones;
   DecisionLog& log;
   DispatchMetrics& metrics;
   const DispatchOptions& options;
 };
 
+// Why a VM refuses what it can't serve with the searchers that it can reach.
+inline constexpr char kIsolatedReason[] =
+    "this VM is cut off from the other availability zones";
+// Time in which the balancer turns to VMs of other availability zones.
+inline constexpr Duration kFailoverTime = std::chrono::seconds(2);
+
 // A run's attempt that has not ended yet.
 struct LaunchedAttempt {
   AttemptId id;
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -1,7 +1,6 @@
 #include "dispatch/scatter_run.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "dispatch/top_records.h"
@@ -11,6 +10,9 @@
 
 // Delay until the next try after the budget denied a hedge.
 constexpr Duration kHedgeRetryInterval = std::chrono::milliseconds(8);
+// Longer than a pause of a searcher. Attempts in flight then count as overdue
+// if they usually take a fraction of it.
+constexpr Duration kOverdueCheckDelay = std::chrono::milliseconds(260);
 // A part that is larger than the records of an answer by this factor is reduced
 // to them while the other parts are awaited.
 constexpr std::size_t kTrimmedPartFactor = 8;
@@ -27,13 +29,7 @@
 }
 
 std::size_t ScatterRun::required() const {
-  double share = route().scatter->min_shard_share;
-  // At least one part is required. The tolerance covers shares such as 0.9 that
-  // have no exact binary representation.
-  constexpr double kTolerance = 1e-9;
-  auto needed = static_cast<std::size_t>(
-      std::ceil(share * static_cast<double>(shards_.size()) - kTolerance));
-  return std::max<std::size_t>(needed, 1);
+  return route().scatter->RequiredShards();
 }
 
 // The time until as many shards as the answer needs have an available searcher.
@@ -51,8 +47,18 @@
   return *last;
 }
 
+std::size_t ScatterRun::CountReachable() const {
+  return static_cast<std::size_t>(
+      std::count_if(shards_.begin(), shards_.end(),
+                    [](const Shard& it) { return it.pool->HasReachable(); }));
+}
+
 void ScatterRun::Start() {
   std::optional<Duration> wait = WaitForRequiredShards();
+  if (context().zones.IsIsolated() && CountReachable() < required()) {
+    Refuse(ErrorKind::kNoUpstream, kIsolatedReason, kFailoverTime);
+    return;
+  }
   if (wait != Duration(0)) {
     auto available =
         std::count_if(shards_.begin(), shards_.end(), [this](const Shard& it) {
@@ -65,6 +71,7 @@
            wait);
     return;
   }
+  overdue_check_at_ = now() + kOverdueCheckDelay;
   for (std::size_t n = 0; n < shards_.size(); ++n) {
     shards_[n].pool->budget().CountRequest(now());
     if (!LaunchNext(n)) {
@@ -196,6 +203,7 @@
       FailWithTooFewParts("the deadline passed");
     return;
   }
+  CheckOverdue();
   for (std::size_t n = 0; n < shards_.size(); ++n) {
     if (MayHedge(shards_[n]) && now() >= shards_[n].hedge_at)
       Hedge(n);
@@ -205,10 +213,22 @@
     UpdateTimer();
 }
 
+void ScatterRun::CheckOverdue() {
+  if (now() < overdue_check_at_ || overdue_check_at_ == TimePoint{})
+    return;
+  overdue_check_at_ = TimePoint{};
+  for (const Shard& shard : shards_) {
+    for (const LaunchedAttempt& it : shard.in_flight)
+      context().launcher.ReportIfOverdue(it.id);
+  }
+}
+
 void ScatterRun::UpdateTimer() {
   TimePoint next = deadline();
   if (now() < target_time())
     next = std::min(next, target_time());
+  if (now() < overdue_check_at_)
+    next = std::min(next, overdue_check_at_);
   for (const Shard& it : shards_) {
     if (MayHedge(it))
       next = std::min(next, it.hedge_at);
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -55,6 +55,7 @@
   void Hedge(std::size_t index);
   bool MayHedge(const Shard& shard) const;
   void UpdateTimer();
+  void CheckOverdue();
   // Answers once there are enough parts to do so now, or fails once there can't
   // be enough any more.
   void FinishIfDecided();
@@ -62,10 +63,13 @@
   void FailWithTooFewParts(const std::string& reason);
   std::size_t required() const;
   std::optional<Duration> WaitForRequiredShards() const;
+  std::size_t CountReachable() const;
 
   std::vector<Shard> shards_;
   std::size_t answered_shards_ = 0;
   std::size_t failed_shards_ = 0;
+  // When the attempts in flight are checked for signs of a partition.
+  TimePoint overdue_check_at_{};
   int hedges_ = 0;
   // Searcher and time, since the request was received, of the latest part.
   std::string last_part_searcher_;
--- a/src/dispatch/searcher_transport.h
+++ b/src/dispatch/searcher_transport.h
@@ -51,6 +51,8 @@
   std::string failure;
   // Time that the attempt waited for a connection.
   Duration queue_time{};
+  // Set if the attempt was not sent because no connection could be opened.
+  bool connect_failed = false;
 };
 
 // Whether an attempt with this outcome is certain not to have run.
@@ -92,6 +94,10 @@
   virtual bool Cancel(AttemptId attempt) = 0;
   // Whether the request was written to a connection.
   virtual bool IsWritten(AttemptId attempt) const = 0;
+  // Tries to open a connection to the searcher and closes it again. Calls
+  // `done` once, after Probe has returned, with whether it was opened.
+  virtual void Probe(const SearcherEntry& searcher,
+                     std::function<void(bool)> done) = 0;
   // Limits the connections to this searcher and thus the requests that it gets
   // from here concurrently.
   virtual void SetConnectionLimit(const SearcherEntry& searcher, int limit) = 0;
--- a/src/dispatch/service_pool.cc
+++ b/src/dispatch/service_pool.cc
@@ -52,7 +52,7 @@
       score += latency.target() / kCrossZonePenaltyDivisor;
     score = Duration(static_cast<Duration::rep>(
         static_cast<double>(score.count()) * jitter(random)));
-    if (it->health.IsSuspect(now))
+    if (it->health.IsSuspect(now) || !zones_.IsReachable(it->entry.zone))
       score += kSuspectPenalty;
     if (score < best_score) {
       best_score = score;
@@ -71,6 +71,13 @@
   return wait;
 }
 
+bool ServicePool::HasReachable() const {
+  return std::any_of(searchers_.begin(), searchers_.end(),
+                     [this](const PooledSearcherPtr& it) {
+                       return zones_.IsReachable(it->entry.zone);
+                     });
+}
+
 std::optional<Duration> ServicePool::LowestExpectedLatency(
     const RouteLatency& latency,
     TimePoint now) const {
--- a/src/dispatch/service_pool.h
+++ b/src/dispatch/service_pool.h
@@ -10,6 +10,7 @@
 #include "dispatch/fleet_retry_budget.h"
 #include "dispatch/route_latency.h"
 #include "dispatch/searcher_health.h"
+#include "dispatch/zone_reachability.h"
 
 namespace jujubecove {
 
@@ -26,10 +27,12 @@
  public:
   ServicePool(ServiceName name,
               ZoneName own_zone,
+              const ZoneReachability& zones,
               const RetryBudgetOptions& budget,
               TimePoint process_start)
       : name_(std::move(name)),
         own_zone_(std::move(own_zone)),
+        zones_(zones),
         budget_(budget, process_start) {}
 
   void Add(PooledSearcherPtr searcher);
@@ -47,6 +50,8 @@
   // The time until one of the searchers is available, zero if one is. Nothing
   // if there are none.
   std::optional<Duration> WaitUntilAvailable(TimePoint now) const;
+  // Whether a searcher is in a zone that can be reached.
+  bool HasReachable() const;
   // The lowest expected latency of the available searchers. Nothing if there
   // are none.
   std::optional<Duration> LowestExpectedLatency(const RouteLatency& latency,
@@ -60,6 +65,7 @@
  private:
   ServiceName name_;
   ZoneName own_zone_;
+  const ZoneReachability& zones_;
   std::vector<PooledSearcherPtr> searchers_;
   FleetRetryBudget budget_;
 };
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -26,6 +26,10 @@
       pool_(std::move(pool)) {}
 
 void SingleRun::Start() {
+  if (context().zones.IsIsolated() && !pool_->HasReachable()) {
+    Refuse(ErrorKind::kNoUpstream, kIsolatedReason, kFailoverTime);
+    return;
+  }
   pool_->budget().CountRequest(now());
   if (!LaunchNext()) {
     std::string what =
--- a/src/egress/http_searcher_transport.cc
+++ b/src/egress/http_searcher_transport.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr Duration kStaleCheckInterval = std::chrono::seconds(1);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -61,6 +62,30 @@
   return it != attempts_.end() && it->second->IsWritten(attempt);
 }
 
+void HttpSearcherTransport::Probe(const SearcherEntry& searcher,
+                                  std::function<void(bool)> done) {
+  auto connection = std::make_shared<ClientConnection>(context_, 0);
+  ++stats_.probes_sent;
+  auto timer = std::make_shared<TimerId>();
+  // Closing the connection ends its callbacks.
+  auto finish = [this, timer, weak = std::weak_ptr(connection),
+                 done = std::move(done)](bool opened) {
+    timers_.Cancel(*timer);
+    if (std::shared_ptr<ClientConnection> probe = weak.lock())
+      probe->Close();
+    done(opened);
+  };
+  *timer = timers_.ScheduleAfter(kProbeTimeout,
+                                 [connection, finish] { finish(false); });
+  connection->Connect(
+      searcher.address,
+      {.connected = [finish] { finish(true); },
+       .connect_failed = [finish](const std::string&) { finish(false); },
+       .closed = nullptr,
+       .finished = nullptr,
+       .classify_reply = nullptr});
+}
+
 void HttpSearcherTransport::SetConnectionLimit(const SearcherEntry& searcher,
                                                int limit) {
   ConnectionsOf(searcher)->set_connection_limit(limit);
--- a/src/egress/searcher_connections.cc
+++ b/src/egress/searcher_connections.cc
@@ -72,11 +72,13 @@
 }
 
 void SearcherConnections::ReturnUnsent(std::vector<QueuedAttempt> attempts,
-                                       const std::string& reason) {
+                                       const std::string& reason,
+                                       bool connect_failed) {
   for (QueuedAttempt& it : attempts) {
     AttemptReply reply;
     reply.outcome = AttemptResult::kNotSent;
     reply.failure = reason;
+    reply.connect_failed = connect_failed;
     it.done(std::move(reply));
   }
 }
@@ -162,7 +164,8 @@
   bool any_open = connecting_ < static_cast<int>(connections_.size());
   if (any_open)
     return;
-  ReturnQueued(reason);
+  timers_.Cancel(expiry_timer_);
+  ReturnUnsent(queued_.TakeAll(), reason, true);
 }
 
 void SearcherConnections::OnIdle(Iterator it) {
--- a/src/egress/searcher_connections.h
+++ b/src/egress/searcher_connections.h
@@ -78,7 +78,8 @@
                  const QueuedAttempt& attempt) const;
   // Ends attempts that were not written with kNotSent.
   static void ReturnUnsent(std::vector<QueuedAttempt> attempts,
-                           const std::string& reason);
+                           const std::string& reason,
+                           bool connect_failed = false);
   AttemptReply Decode(HttpExchange exchange) const;
 
   boost::asio::io_context& context_;
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -179,9 +179,13 @@
     answer.body = registry_.ToPrometheus();
     return answer;
   }
-  if (draining_ || !discovery_.IsSynced()) {
+  // An isolated VM leaves its callers to VMs of other availability zones. The
+  // balancer turns to these when no VM of the zone is ready.
+  if (draining_ || !discovery_.IsSynced() || dispatcher_.IsImpaired()) {
     answer.error = draining_ ? ErrorKind::kShuttingDown : ErrorKind::kNotReady;
-    answer.reason = draining_ ? "stopping" : "no configuration is known yet";
+    answer.reason = draining_                ? "stopping"
+                    : !discovery_.IsSynced() ? "no configuration is known yet"
+                                             : kIsolatedReason;
   } else {
     answer.body = "ready\n";
   }
@@ -195,6 +199,7 @@
   state.config_applied_at = discovery_.table_applied_at();
   state.ready_searchers = dispatcher_.ready_searchers();
   state.fleet_size = dispatcher_.fleet_size();
+  state.unreachable_zones = dispatcher_.unreachable_zones();
   state.store_connected = discovery_.IsStoreConnected();
   state.caller_connections = caller_server_.connections();
   state.log_lines_left_out = log_.left_out() + sink_.dropped();
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -37,7 +37,9 @@
   const IngressLimits& limits() const override;
   std::shared_ptr<RequestRun> Submit(ForwardedRequestPtr request,
                                      RequestRun::AnswerHandler done) override;
-  bool IsDraining() const override { return draining_; }
+  bool ClosesConnections() const override {
+    return draining_ || dispatcher_.IsImpaired();
+  }
   void OnRequestRejected(ErrorKind kind, const std::string& reason) override;
 
  private:
--- a/src/front/front_metrics.cc
+++ b/src/front/front_metrics.cc
@@ -21,6 +21,9 @@
                             "Searchers that are ready for requests.")),
       fleet_size_(registry.AddGauge("jujubecove_fleet_size",
                                     "Entry daemons that share the limits.")),
+      unreachable_zones_(
+          registry.AddGauge("jujubecove_zones_unreachable",
+                            "Availability zones that can't be reached.")),
       store_connected_(registry.AddGauge("jujubecove_store_connected",
                                          "1 while the store is reachable.")),
       caller_connections_(registry.AddGauge("jujubecove_caller_connections",
@@ -33,6 +36,9 @@
       connects_failed_(
           registry.AddGauge("jujubecove_searcher_connects_failed",
                             "Connections to searchers that failed to open.")),
+      probes_sent_(registry.AddGauge(
+          "jujubecove_searcher_probes_sent",
+          "Connections opened to find out whether a zone can be reached.")),
       requests_sent_(registry.AddGauge("jujubecove_searcher_requests_sent",
                                        "Requests written to searchers.")),
       exchanges_broken_(
@@ -51,11 +57,13 @@
   set(config_age_, ToMilliseconds(now - state.config_applied_at) / 1000.0);
   set(ready_searchers_, state.ready_searchers);
   set(fleet_size_, state.fleet_size);
+  set(unreachable_zones_, state.unreachable_zones);
   set(store_connected_, state.store_connected ? 1 : 0);
   set(caller_connections_, state.caller_connections);
   set(log_lines_left_out_, state.log_lines_left_out);
   set(connections_opened_, state.egress.connections_opened);
   set(connects_failed_, state.egress.connects_failed);
+  set(probes_sent_, state.egress.probes_sent);
   set(requests_sent_, state.egress.requests_sent);
   set(exchanges_broken_, state.egress.exchanges_broken);
   set(store_served_, state.store_calls.served);
--- a/src/front/front_metrics.h
+++ b/src/front/front_metrics.h
@@ -14,6 +14,7 @@
   TimePoint config_applied_at{};
   std::size_t ready_searchers = 0;
   int fleet_size = 0;
+  int unreachable_zones = 0;
   bool store_connected = false;
   std::size_t caller_connections = 0;
   std::uint64_t log_lines_left_out = 0;
@@ -32,11 +33,13 @@
   Gauge& config_age_;
   Gauge& ready_searchers_;
   Gauge& fleet_size_;
+  Gauge& unreachable_zones_;
   Gauge& store_connected_;
   Gauge& caller_connections_;
   Gauge& log_lines_left_out_;
   Gauge& connections_opened_;
   Gauge& connects_failed_;
+  Gauge& probes_sent_;
   Gauge& requests_sent_;
   Gauge& exchanges_broken_;
   Gauge& store_served_;
--- a/src/front/operations_host.h
+++ b/src/front/operations_host.h
@@ -29,7 +29,7 @@
   const IngressLimits& limits() const override { return limits_; }
   std::shared_ptr<RequestRun> Submit(ForwardedRequestPtr request,
                                      RequestRun::AnswerHandler done) override;
-  bool IsDraining() const override { return false; }
+  bool ClosesConnections() const override { return false; }
   void OnRequestRejected(ErrorKind, const std::string&) override {}
 
  private:
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -68,7 +68,9 @@
         self->socket_.set_option(tcp::no_delay(true), ignored);
         self->state_ = State::kIdle;
         self->Read();
-        self->callbacks_.connected();
+        // The callback may close the connection.
+        std::function<void()> connected = self->callbacks_.connected;
+        connected();
       });
 }
 
--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -227,7 +227,7 @@
 void IngressConnection::Answer(CallerAnswer answer, bool keep_alive) {
   run_ = nullptr;
   Write(protocol_.EncodeAnswer(std::move(answer), request_id_),
-        keep_alive && !host_.IsDraining());
+        keep_alive && !host_.ClosesConnections());
 }
 
 void IngressConnection::Write(IngressAnswer answer, bool keep_alive) {
--- a/src/ingress/ingress_host.h
+++ b/src/ingress/ingress_host.h
@@ -19,9 +19,9 @@
   virtual std::shared_ptr<RequestRun> Submit(
       ForwardedRequestPtr request,
       RequestRun::AnswerHandler done) = 0;
-  // Whether the process is draining: connections close after their current
-  // answer.
-  virtual bool IsDraining() const = 0;
+  // Whether connections close after their current answer, so that the caller's
+  // next request goes to another VM.
+  virtual bool ClosesConnections() const = 0;
   virtual void OnRequestRejected(ErrorKind kind, const std::string& reason) = 0;
 };
 
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -24,6 +24,9 @@
   // Share of the shards, 0 to 1, that a successful answer must contain at
   // least.
   double min_shard_share = 1.0;
+
+  // Number of shards that a successful answer must contain at least.
+  std::size_t RequiredShards() const;
 };
 
 // One route of the operators' configuration: the requests that it matches and
--- a/tests/unit/dispatch/fake_searcher_transport.h
+++ b/tests/unit/dispatch/fake_searcher_transport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,15 @@
   }
   // Attempts get no connection from now on.
   void StopWriting() { writes_ = false; }
+  // Probes succeed unless told otherwise.
+  void Probe(const SearcherEntry& searcher,
+             std::function<void(bool)> done) override {
+    probed_.push_back(searcher.id.value());
+    done(!unreachable_zones_.contains(searcher.zone));
+  }
+  void CutOff(const ZoneName& zone) { unreachable_zones_.insert(zone); }
+  void Heal(const ZoneName& zone) { unreachable_zones_.erase(zone); }
+  const std::vector<std::string>& probed() const { return probed_; }
   void SetConnectionLimit(const SearcherEntry& searcher, int limit) override {
     limits_[searcher.id.value()] = limit;
   }
@@ -93,6 +103,8 @@
   std::map<AttemptId, PendingAttempt> pending_;
   std::vector<std::string> send_order_;
   std::map<std::string, int> limits_;
+  std::set<ZoneName> unreachable_zones_;
+  std::vector<std::string> probed_;
   int cancelled_ = 0;
   bool writes_ = true;
 };
--- a/tests/unit/ingress/ingress_server_test.cc
+++ b/tests/unit/ingress/ingress_server_test.cc
@@ -35,7 +35,7 @@
     }
     return nullptr;
   }
-  bool IsDraining() const override { return draining_; }
+  bool ClosesConnections() const override { return draining_; }
   void OnRequestRejected(ErrorKind kind, const std::string&) override {
     rejected_.push_back(kind);
   }
