Charge failures of a searcher by the route's target when choosing

For short requests the factor on the expected latency never outweighed the price of another zone, and the refusing searcher of the own zone was kept.

Change: the route's target times the failure rate is added to the expected latency.

--- a/src/dispatch/searcher_health.h
+++ b/src/dispatch/searcher_health.h
@@ -45,6 +45,9 @@
   }
   bool IsAvailable(TimePoint now) const { return now >= available_at(); }
 
+  // Moving average of the share of attempts that were refused or failed.
+  double failure_rate() const { return failure_rate_; }
+
   int in_flight() const { return static_cast<int>(in_flight_.size()); }
   int slots() const { return slots_; }
   void set_slots(int slots) { slots_ = slots; }
@@ -62,7 +65,6 @@
   // The same without the wait for a connection, and its mean deviation.
   double reply_time_ratio_ = 1.0;
   double reply_time_deviation_ = 0.0;
-  // Moving average of the share of attempts that were refused or failed.
   double failure_rate_ = 0.0;
   std::optional<ReportedLoad> reported_;
   TimePoint reported_at_{};
--- a/src/dispatch/service_pool.cc
+++ b/src/dispatch/service_pool.cc
@@ -15,6 +15,11 @@
 // all choose the same searcher.
 constexpr double kScoreJitter = 0.15;
 
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace
 
 void ServicePool::Add(PooledSearcherPtr searcher) {
@@ -36,6 +41,9 @@
   return nullptr;
 }
 
+// A failed attempt costs a retry, and often the part or the request. However
+// short the usual latency is, a searcher that fails always is as bad as one
+// that takes the whole target.
 PooledSearcherPtr ServicePool::Select(std::span<const PooledSearcherPtr> tried,
                                       const RouteLatency& latency,
                                       TimePoint now,
@@ -48,10 +56,10 @@
         std::find(tried.begin(), tried.end(), it) != tried.end())
       continue;
     Duration score = it->health.ExpectedLatency(latency.typical(), now);
+    score += Scale(latency.target(), it->health.failure_rate());
     if (it->entry.zone != own_zone_)
       score += latency.target() / kCrossZonePenaltyDivisor;
-    score = Duration(static_cast<Duration::rep>(
-        static_cast<double>(score.count()) * jitter(random)));
+    score = Scale(score, jitter(random));
     if (it->health.IsSuspect(now) || !zones_.IsReachable(it->entry.zone))
       score += kSuspectPenalty;
     if (score < best_score) {
