Let a closed connection forget the budget of replies

Cause: the destructor released the bytes again, and a handler that is still pending keeps a closed connection until the event loop is destroyed, which is after the transport and its budget. Change: Close releases them and drops the pointer. Behaviour is the same.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -100,8 +100,11 @@
   state_ = State::kClosed;
   callbacks_ = Callbacks();
   parser_.reset();
+  // A pending handler may keep the closed connection for longer than the budget
+  // lives.
   if (budget_ != nullptr)
     budget_->Release(*this);
+  budget_ = nullptr;
   error_code ignored;
   socket_.close(ignored);
 }
