--- a/review/standin/case_1.cc
+++ b/review/standin/case_1.cc
@@ -64,7 +64,7 @@
   routes[0] = {.name = "r-fetch", .host = kHost, .prefix = "/fetch/", .kind = "idempotent", .service = "receipts"};
   routes[1] = {.name = "r-pay", .host = kHost, .prefix = "/pay/", .kind = "non_idempotent", .service = "receipts"};
   store.Put("op/config", ConfigText(7, routes, {{"receipts", 110}}));
-  Front front(store, "front-1", "nyeri", "127.0.0.11");
+  Front front(store, "front-1", "nyeri", "127.0.11.1");
   front.Start();
   Require(front.AwaitReady(10), "the entry process isn't ready");
 
