--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review
 compile() { g++ -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/standin "$@"; }
-compile -c review/standin/world.cc -o target/review/world.o
-for source in review/standin/case_*.cc; do
-  name=$(basename "$source" .cc)
+compile -c review/standin/world.cpp -o target/review/world.o
+for source in review/standin/case_*.cpp; do
+  name=$(basename "$source" .cpp)
   compile "$source" target/review/world.o -o "target/review/$name"
 done
--- a/review/standin/case_1.cc
+++ b/review/standin/case_1.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <memory>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
@@ -22,11 +22,15 @@
   std::string target;
 };
 
-Sent Send(Connection& connection, const std::string& method, const std::string& target) {
+Sent Send(Connection& connection,
+          const std::string& method,
+          const std::string& target) {
   Sent sent{NewId(), target};
-  connection.Write(method + " " + target + " HTTP/1.1\r\nHost: " + kHost + "\r\nRequest-Id: " + sent.id +
-                   "\r\nDeadline-Ms: 6000\r\n" + (method == "GET" ? "" : "Content-Length: 0\r\n") + "\r\n");
-  Record("sent %s %s, request %s", method.c_str(), target.c_str(), sent.id.c_str());
+  connection.Write(method + " " + target + " HTTP/1.1\r\nHost: " + kHost +
+                   "\r\nRequest-Id: " + sent.id + "\r\nDeadline-Ms: 6000\r\n" +
+                   (method == "GET" ? "" : "Content-Length: 0\r\n") + "\r\n");
+  Record("sent %s %s, request %s", method.c_str(), target.c_str(),
+         sent.id.c_str());
   return sent;
 }
 
@@ -39,9 +43,11 @@
   }
   std::string id = answer->headers.Get("Request-Id");
   std::string stamp = answer->headers.Get("Response-Stamp");
-  bool foreign = answer->Status() == 200 && stamp.find("." + sent.id) == std::string::npos;
-  Record("%srequest %s %s: %s, Request-Id %s, Response-Stamp %s", foreign ? "MIXED: " : "", sent.id.c_str(),
-         sent.target.c_str(), answer->start.c_str(), id.c_str(), stamp.c_str());
+  bool foreign =
+      answer->Status() == 200 && stamp.find("." + sent.id) == std::string::npos;
+  Record("%srequest %s %s: %s, Request-Id %s, Response-Stamp %s",
+         foreign ? "MIXED: " : "", sent.id.c_str(), sent.target.c_str(),
+         answer->start.c_str(), id.c_str(), stamp.c_str());
   return foreign ? 1 : 0;
 }
 
@@ -61,8 +67,16 @@
     searchers.back()->Register("ready");
   }
   std::vector<RouteText> routes(2);
-  routes[0] = {.name = "r-fetch", .host = kHost, .prefix = "/fetch/", .kind = "idempotent", .service = "receipts"};
-  routes[1] = {.name = "r-pay", .host = kHost, .prefix = "/pay/", .kind = "non_idempotent", .service = "receipts"};
+  routes[0] = {.name = "r-fetch",
+               .host = kHost,
+               .prefix = "/fetch/",
+               .kind = "idempotent",
+               .service = "receipts"};
+  routes[1] = {.name = "r-pay",
+               .host = kHost,
+               .prefix = "/pay/",
+               .kind = "non_idempotent",
+               .service = "receipts"};
   store.Put("op/config", ConfigText(7, routes, {{"receipts", 110}}));
   Front front(store, "front-1", "nyeri", "127.0.11.1");
   front.Start();
@@ -70,7 +84,8 @@
 
   int mixed = 0;
   for (int n = 0; n < kRounds; ++n) {
-    std::unique_ptr<Connection> connection = Connection::Open(front.ip(), front.port(), 1.0);
+    std::unique_ptr<Connection> connection =
+        Connection::Open(front.ip(), front.port(), 1.0);
     Require(connection != nullptr, "no connection to the entry process");
     std::string number = std::to_string(100 + n);
     Sent fetch = Send(*connection, "GET", "/fetch/" + number);
@@ -92,7 +107,8 @@
   // TWICE: a request that isn't idempotent runs more than once.
   std::map<std::string, int> runs;
   for (const Arrival& it : Arrivals()) {
-    Record("searcher %s ran request %s %s", it.searcher.c_str(), it.id.c_str(), it.target.c_str());
+    Record("searcher %s ran request %s %s", it.searcher.c_str(), it.id.c_str(),
+           it.target.c_str());
     if (it.ran && it.target.rfind("/pay/", 0) == 0)
       ++runs[it.id];
   }
@@ -104,10 +120,14 @@
     }
   }
   int never = 2 * kRounds - static_cast<int>(runs.size());
-  Record("%d payments: %d ran twice, %d answered 200 with the answer to another request, %d never ran", 2 * kRounds,
-         twice, mixed, never);
-  std::printf("%d payments: %d ran twice, %d answered 200 with the answer to another request, %d never ran\n",
-              2 * kRounds, twice, mixed, never);
+  Record(
+      "%d payments: %d ran twice, %d answered 200 with the answer to another "
+      "request, %d never ran",
+      2 * kRounds, twice, mixed, never);
+  std::printf(
+      "%d payments: %d ran twice, %d answered 200 with the answer to another "
+      "request, %d never ran\n",
+      2 * kRounds, twice, mixed, never);
   front.Kill();
   std::fflush(nullptr);
   _exit(twice > 0 || mixed > 0 ? 1 : 0);
--- a/review/standin/case_2.cc
+++ b/review/standin/case_2.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <memory>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
@@ -27,7 +27,11 @@
 
 std::string LargeConfig(int version, const std::string& service) {
   std::vector<RouteText> routes;
-  routes.push_back({.name = "r-fetch", .host = kHost, .prefix = "/fetch/", .kind = "idempotent", .service = service});
+  routes.push_back({.name = "r-fetch",
+                    .host = kHost,
+                    .prefix = "/fetch/",
+                    .kind = "idempotent",
+                    .service = service});
   for (int n = 0; n < kMoreRoutes; ++n) {
     std::string number = std::to_string(n);
     routes.push_back({.name = "r-more" + number,
@@ -57,12 +61,14 @@
   }
   std::string first = LargeConfig(100, "receipts");
   Record("each configuration has %zu bytes", first.size());
-  Require(first.size() <= kMaxValue, "the configuration is larger than MaxValueBytes");
+  Require(first.size() <= kMaxValue,
+          "the configuration is larger than MaxValueBytes");
   store.Put("op/config", first);
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < 4; ++n) {
-    fronts.push_back(std::make_unique<Front>(store, "front-" + std::to_string(n + 1), zones[n % 3],
-                                             "127.0.12." + std::to_string(1 + n)));
+    fronts.push_back(std::make_unique<Front>(
+        store, "front-" + std::to_string(n + 1), zones[n % 3],
+        "127.0.12." + std::to_string(1 + n)));
     fronts.back()->Start();
   }
   for (const auto& it : fronts)
@@ -88,7 +94,8 @@
   }
   std::vector<std::string> texts;
   for (int n = 1; n <= kStormChanges; ++n)
-    texts.push_back(LargeConfig(100 + 3 * n, n == kStormChanges ? "dividends" : "receipts"));
+    texts.push_back(LargeConfig(100 + 3 * n,
+                                n == kStormChanges ? "dividends" : "receipts"));
 
   double start = Now();
   if (HasTrouble())
@@ -97,7 +104,8 @@
   for (int n = 0; n < kStormChanges; ++n) {
     SleepUntil(start + 0.1 + n * kStormGap);
     acked = store.Put("op/config", texts[static_cast<std::size_t>(n)]);
-    Record("version %d is acknowledged%s", 103 + 3 * n, n + 1 == kStormChanges ? "; /fetch/ now goes to dividends" : "");
+    Record("version %d is acknowledged%s", 103 + 3 * n,
+           n + 1 == kStormChanges ? "; /fetch/ now goes to dividends" : "");
   }
   SleepUntil(start + kFreeze);
   if (HasTrouble())
@@ -113,19 +121,27 @@
   int stale = 0;
   double last = 0;
   for (const Answer& it : answers) {
-    Record("request %s to %s sent %.3f: %d %s", it.id.c_str(), it.front.c_str(), it.sent_at, it.status, it.text.c_str());
+    Record("request %s to %s sent %.3f: %d %s", it.id.c_str(), it.front.c_str(),
+           it.sent_at, it.status, it.text.c_str());
     bool judged = it.sent_at > acked + kConfigApply && it.sent_at > in_touch;
     if (!judged || it.status != 200 || it.text != "receipts")
       continue;
     ++stale;
     last = std::max(last, it.sent_at);
-    Record("CONFIG: request %s to %s was run by the old service %.3f s after the ack, %.3f s after the machine woke",
-           it.id.c_str(), it.front.c_str(), it.sent_at - acked, it.sent_at - start - kFreeze);
+    Record(
+        "CONFIG: request %s to %s was run by the old service %.3f s after the "
+        "ack, %.3f s after the machine woke",
+        it.id.c_str(), it.front.c_str(), it.sent_at - acked,
+        it.sent_at - start - kFreeze);
   }
-  Record("%zu requests, %d run by the old service too late, the last one %.3f s after the ack", answers.size(), stale,
-         stale > 0 ? last - acked : 0.0);
-  std::printf("%zu requests, %d run by the old service too late, the last one %.3f s after the ack\n", answers.size(),
-              stale, stale > 0 ? last - acked : 0.0);
+  Record(
+      "%zu requests, %d run by the old service too late, the last one %.3f s "
+      "after the ack",
+      answers.size(), stale, stale > 0 ? last - acked : 0.0);
+  std::printf(
+      "%zu requests, %d run by the old service too late, the last one %.3f s "
+      "after the ack\n",
+      answers.size(), stale, stale > 0 ? last - acked : 0.0);
   fronts.clear();
   std::fflush(nullptr);
   _exit(stale > 0 ? 1 : 0);
--- a/review/standin/case_3.cc
+++ b/review/standin/case_3.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <memory>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
@@ -36,8 +36,9 @@
       if (misses[n] < 2)
         usable.push_back(fronts[n].get());
     }
-    return usable.empty() ? *fronts[static_cast<std::size_t>(hash) % fronts.size()]
-                          : *usable[static_cast<std::size_t>(hash) % usable.size()];
+    return usable.empty()
+               ? *fronts[static_cast<std::size_t>(hash) % fronts.size()]
+               : *usable[static_cast<std::size_t>(hash) % usable.size()];
   }
 
   std::vector<std::unique_ptr<Front>> fronts;
@@ -68,14 +69,24 @@
     searchers.back()->Register("ready");
   }
   std::vector<RouteText> routes(2);
-  routes[0] = {.name = "r-fetch", .host = kHost, .prefix = "/fetch/", .kind = "idempotent", .service = "receipts"};
-  routes[1] = {.name = "r-pay", .host = kHost, .prefix = "/pay/", .kind = "non_idempotent", .service = "receipts", .max_attempts = 1};
+  routes[0] = {.name = "r-fetch",
+               .host = kHost,
+               .prefix = "/fetch/",
+               .kind = "idempotent",
+               .service = "receipts"};
+  routes[1] = {.name = "r-pay",
+               .host = kHost,
+               .prefix = "/pay/",
+               .kind = "non_idempotent",
+               .service = "receipts",
+               .max_attempts = 1};
   store.Put("op/config", ConfigText(7, routes, {{"receipts", 110}}));
 
   Balancer balancer;
   for (int n = 0; n < 4; ++n) {
-    balancer.fronts.push_back(std::make_unique<Front>(store, "front-" + std::to_string(n + 1), zones[n % 3],
-                                                      "127.0.13." + std::to_string(1 + n)));
+    balancer.fronts.push_back(std::make_unique<Front>(
+        store, "front-" + std::to_string(n + 1), zones[n % 3],
+        "127.0.13." + std::to_string(1 + n)));
     balancer.fronts.back()->Start();
   }
   balancer.misses.assign(4, 0);
@@ -97,8 +108,9 @@
       Consumer consumer;
       for (int i = 0; !done; ++i) {
         bool pay = (n + i) % 4 == 0;
-        Answer answer = consumer.Ask(balancer.Choose(n + i), pay ? "POST" : "GET", kHost,
-                                     pay ? "/pay/2f" : "/fetch/2f", static_cast<int>(kTimeLimit * 1000));
+        Answer answer = consumer.Ask(
+            balancer.Choose(n + i), pay ? "POST" : "GET", kHost,
+            pay ? "/pay/2f" : "/fetch/2f", static_cast<int>(kTimeLimit * 1000));
         {
           std::lock_guard<std::mutex> lock(mutex);
           answers.push_back(answer);
@@ -139,26 +151,37 @@
   int lost_payments = 0;
   for (const Answer& it : answers) {
     auto found = arrived.find(it.id);
-    Record("request %s to %s sent %.3f ended %.3f: %d%s", it.id.c_str(), it.front.c_str(), it.sent_at, it.ended_at,
-           it.status, found == arrived.end() ? "" : (", reached " + found->second.searcher).c_str());
-    if (it.status != 0 || found == arrived.end() || it.ended_at - it.sent_at >= kTimeLimit)
+    Record("request %s to %s sent %.3f ended %.3f: %d%s", it.id.c_str(),
+           it.front.c_str(), it.sent_at, it.ended_at, it.status,
+           found == arrived.end()
+               ? ""
+               : (", reached " + found->second.searcher).c_str());
+    if (it.status != 0 || found == arrived.end() ||
+        it.ended_at - it.sent_at >= kTimeLimit)
       continue;
     for (const Stop& stop : stops) {
-      bool planned = it.front == stop.front && it.ended_at >= stop.at && it.ended_at <= stop.at + kGrace + 1;
+      bool planned = it.front == stop.front && it.ended_at >= stop.at &&
+                     it.ended_at <= stop.at + kGrace + 1;
       // The searcher was still at work in the last sixth of GraceS.
-      bool excused = it.sent_at <= stop.at + 3 && it.ended_at >= stop.at + kGrace * 5 / 6;
+      bool excused =
+          it.sent_at <= stop.at + 3 && it.ended_at >= stop.at + kGrace * 5 / 6;
       if (!planned || excused)
         continue;
       ++lost;
       lost_payments += found->second.target == "/pay/2f" ? 1 : 0;
-      Record("LOST: request %s (%s) was read and passed on to %s; its connection ended without an answer %.3f s "
-             "after the first SIGTERM of %s",
-             it.id.c_str(), found->second.target.c_str(), found->second.searcher.c_str(), it.ended_at - stop.at,
-             it.front.c_str());
+      Record(
+          "LOST: request %s (%s) was read and passed on to %s; its connection "
+          "ended without an answer %.3f s "
+          "after the first SIGTERM of %s",
+          it.id.c_str(), found->second.target.c_str(),
+          found->second.searcher.c_str(), it.ended_at - stop.at,
+          it.front.c_str());
     }
   }
-  Record("%zu requests, %d lost, %d of them not idempotent", answers.size(), lost, lost_payments);
-  std::printf("%zu requests, %d lost, %d of them not idempotent\n", answers.size(), lost, lost_payments);
+  Record("%zu requests, %d lost, %d of them not idempotent", answers.size(),
+         lost, lost_payments);
+  std::printf("%zu requests, %d lost, %d of them not idempotent\n",
+              answers.size(), lost, lost_payments);
   balancer.fronts.clear();
   std::fflush(nullptr);
   _exit(lost > 0 ? 1 : 0);
--- a/review/standin/case_5.cc
+++ b/review/standin/case_5.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <memory>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
@@ -24,7 +24,9 @@
 constexpr char kHost[] = "leno12.example";
 const char* kZones[] = {"nyeri", "karatina", "othaya"};
 
-std::unique_ptr<Searcher> MakeSearcher(Store& store, int number, int generation) {
+std::unique_ptr<Searcher> MakeSearcher(Store& store,
+                                       int number,
+                                       int generation) {
   SearcherOptions options;
   options.id = "i-" + std::to_string(generation) + "-" + std::to_string(number);
   options.service = "receipts";
@@ -44,13 +46,23 @@
   for (int n = 0; n < kSearchers; ++n)
     searchers.push_back(MakeSearcher(store, n, 0));
   std::vector<RouteText> routes(2);
-  routes[0] = {.name = "r-fetch", .host = kHost, .prefix = "/fetch/", .kind = "idempotent", .service = "receipts"};
-  routes[1] = {.name = "r-pay", .host = kHost, .prefix = "/pay/", .kind = "non_idempotent", .service = "receipts", .max_attempts = 1};
+  routes[0] = {.name = "r-fetch",
+               .host = kHost,
+               .prefix = "/fetch/",
+               .kind = "idempotent",
+               .service = "receipts"};
+  routes[1] = {.name = "r-pay",
+               .host = kHost,
+               .prefix = "/pay/",
+               .kind = "non_idempotent",
+               .service = "receipts",
+               .max_attempts = 1};
   store.Put("op/config", ConfigText(7, routes, {{"receipts", 110}}));
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < 4; ++n) {
-    fronts.push_back(std::make_unique<Front>(store, "front-" + std::to_string(n + 1), kZones[n % 3],
-                                             "127.0.15." + std::to_string(1 + n)));
+    fronts.push_back(std::make_unique<Front>(
+        store, "front-" + std::to_string(n + 1), kZones[n % 3],
+        "127.0.15." + std::to_string(1 + n)));
     fronts.back()->Start();
   }
   for (const auto& it : fronts)
@@ -68,8 +80,9 @@
       Consumer consumer;
       for (int i = 0; !done; ++i) {
         bool pay = (n + i) % 2 == 0;
-        Answer answer = consumer.Ask(*fronts[static_cast<std::size_t>(n) % fronts.size()], pay ? "POST" : "GET", kHost,
-                                     pay ? "/pay/2f" : "/fetch/2f", 6000);
+        Answer answer = consumer.Ask(
+            *fronts[static_cast<std::size_t>(n) % fronts.size()],
+            pay ? "POST" : "GET", kHost, pay ? "/pay/2f" : "/fetch/2f", 6000);
         {
           std::lock_guard<std::mutex> lock(mutex);
           answers.push_back(answer);
@@ -105,12 +118,13 @@
   for (std::thread& it : consumers)
     it.join();
 
-  // DRAIN: a request reaches a searcher later than DrainMs after the ack that it
-  // is gone.
+  // DRAIN: a request reaches a searcher later than DrainMs after the ack that
+  // it is gone.
   std::map<std::string, Answer> answered;
   for (const Answer& it : answers) {
     answered.emplace(it.id, it);
-    Record("request %s to %s sent %.3f ended %.3f: %d", it.id.c_str(), it.front.c_str(), it.sent_at, it.ended_at, it.status);
+    Record("request %s to %s sent %.3f ended %.3f: %d", it.id.c_str(),
+           it.front.c_str(), it.sent_at, it.ended_at, it.status);
   }
   int late = 0;
   int lost = 0;
@@ -124,14 +138,21 @@
     const Answer& answer = answered[it.id];
     bool is_lost = it.answered_at == 0 && answer.status != 200;
     lost += is_lost ? 1 : 0;
-    Record("DRAIN: request %s (%s) from %s reached %s %.3f s after the ack that it is gone; the consumer got %d%s",
-           it.id.c_str(), it.target.c_str(), answer.front.c_str(), it.searcher.c_str(), it.at - found->second,
-           answer.status, is_lost ? ", its work is lost" : "");
+    Record(
+        "DRAIN: request %s (%s) from %s reached %s %.3f s after the ack that "
+        "it is gone; the consumer got %d%s",
+        it.id.c_str(), it.target.c_str(), answer.front.c_str(),
+        it.searcher.c_str(), it.at - found->second, answer.status,
+        is_lost ? ", its work is lost" : "");
   }
-  Record("%zu requests, %d reached a searcher too late, up to %.3f s after the ack; %d of them lost; %d watches cut",
-         answers.size(), late, latest, lost, store.cut_watches());
-  std::printf("%zu requests, %d reached a searcher too late, up to %.3f s after the ack; %d of them lost; %d watches cut\n",
-              answers.size(), late, latest, lost, store.cut_watches());
+  Record(
+      "%zu requests, %d reached a searcher too late, up to %.3f s after the "
+      "ack; %d of them lost; %d watches cut",
+      answers.size(), late, latest, lost, store.cut_watches());
+  std::printf(
+      "%zu requests, %d reached a searcher too late, up to %.3f s after the "
+      "ack; %d of them lost; %d watches cut\n",
+      answers.size(), late, latest, lost, store.cut_watches());
   fronts.clear();
   std::fflush(nullptr);
   _exit(late > 0 ? 1 : 0);
--- a/review/standin/world.cc
+++ b/review/standin/world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -86,7 +86,9 @@
   return "";
 }
 
-std::string Reply(int status, const std::string& headers, const std::string& body) {
+std::string Reply(int status,
+                  const std::string& headers,
+                  const std::string& body) {
   return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -110,20 +112,26 @@
   return ntohs(address.sin_port);
 }
 
-void ReplaceAll(std::string& text, const std::string& from, const std::string& to) {
-  for (std::size_t at = 0; (at = text.find(from, at)) != std::string::npos; at += to.size())
+void ReplaceAll(std::string& text,
+                const std::string& from,
+                const std::string& to) {
+  for (std::size_t at = 0; (at = text.find(from, at)) != std::string::npos;
+       at += to.size())
     text.replace(at, from.size(), to);
 }
 
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
-  return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+  return std::string(std::istreambuf_iterator<char>(file),
+                     std::istreambuf_iterator<char>());
 }
 
 }  // namespace
 
 double Now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now() - kStart).count();
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() -
+                                       kStart)
+      .count();
 }
 
 void SleepUntil(double when) {
@@ -185,13 +193,16 @@
   return at == std::string::npos ? 0 : std::atoi(start.c_str() + at);
 }
 
-std::unique_ptr<Connection> Connection::Open(const std::string& ip, int port, double timeout) {
+std::unique_ptr<Connection> Connection::Open(const std::string& ip,
+                                             int port,
+                                             double timeout) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   sockaddr_in address = AddressOf(ip, port);
   fcntl(fd, F_SETFL, O_NONBLOCK);
-  int result = connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  int result =
+      connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
   if (result != 0 && errno == EINPROGRESS) {
     pollfd waiting{fd, POLLOUT, 0};
     int error = ETIMEDOUT;
@@ -243,10 +254,12 @@
       continue;
     std::size_t value = line.find_first_not_of(' ', colon + 1);
     message.headers.fields.emplace_back(
-        line.substr(0, colon), value == std::string::npos ? "" : line.substr(value));
+        line.substr(0, colon),
+        value == std::string::npos ? "" : line.substr(value));
   }
   buffer_.erase(0, end + 4);
-  auto size = static_cast<std::size_t>(std::atol(message.headers.Get("Content-Length").c_str()));
+  auto size = static_cast<std::size_t>(
+      std::atol(message.headers.Get("Content-Length").c_str()));
   while (buffer_.size() < size) {
     if (!Fill(deadline))
       return std::nullopt;
@@ -262,7 +275,8 @@
     int fd = fd_;
     if (fd < 0)
       return false;
-    ssize_t size = send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+    ssize_t size =
+        send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
     if (size <= 0)
       return false;
     done += static_cast<std::size_t>(size);
@@ -287,7 +301,8 @@
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = AddressOf(ip_, 0);
   socklen_t size = sizeof address;
-  Require(bind(fd_, reinterpret_cast<sockaddr*>(&address), size) == 0 && listen(fd_, 512) == 0,
+  Require(bind(fd_, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+              listen(fd_, 512) == 0,
           "a stand-in can't listen");
   getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
   port_ = ntohs(address.sin_port);
@@ -332,11 +347,13 @@
   close(fd_);
   CloseConnections();
   std::unique_lock<std::mutex> lock(mutex_);
-  idle_.wait_for(lock, std::chrono::seconds(40), [this] { return connections_.empty(); });
+  idle_.wait_for(lock, std::chrono::seconds(40),
+                 [this] { return connections_.empty(); });
 }
 
 Store::Store() {
-  server_ = std::make_unique<Server>("127.0.0.1", [this](Connection& it) { Serve(it); });
+  server_ = std::make_unique<Server>("127.0.0.1",
+                                     [this](Connection& it) { Serve(it); });
 }
 
 void Store::AddEvent(const std::string& key, std::string text) {
@@ -352,13 +369,20 @@
   }
 }
 
-static std::string ItemText(const std::string& key, const std::string& value, long revision, long created, long lease) {
-  return "{\"Key\":" + json::serialize(json::string(key)) + ",\"Value\":\"" + Base64(value) +
-         "\",\"Revision\":" + std::to_string(revision) + ",\"Created\":" + std::to_string(created) +
+static std::string ItemText(const std::string& key,
+                            const std::string& value,
+                            long revision,
+                            long created,
+                            long lease) {
+  return "{\"Key\":" + json::serialize(json::string(key)) + ",\"Value\":\"" +
+         Base64(value) + "\",\"Revision\":" + std::to_string(revision) +
+         ",\"Created\":" + std::to_string(created) +
          ",\"Lease\":" + std::to_string(lease) + "}";
 }
 
-void Store::PutLocked(const std::string& key, const std::string& value, long lease) {
+void Store::PutLocked(const std::string& key,
+                      const std::string& value,
+                      long lease) {
   ++revision_;
   Item& item = items_[key];
   long created = item.created == 0 ? revision_ : item.created;
@@ -371,7 +395,8 @@
     return;
   ++revision_;
   AddEvent(key, "{\"Key\":" + json::serialize(json::string(key)) +
-                    ",\"Revision\":" + std::to_string(revision_) + ",\"Removed\":true}");
+                    ",\"Revision\":" + std::to_string(revision_) +
+                    ",\"Removed\":true}");
 }
 
 double Store::Put(const std::string& key, const std::string& value) {
@@ -391,7 +416,8 @@
     int status = 200;
     std::string body = "{}";
     if (!Handle(*request, status, body) ||
-        !connection.Write(Reply(status, "Content-Type: application/json\r\n", body)))
+        !connection.Write(
+            Reply(status, "Content-Type: application/json\r\n", body)))
       return;
   }
 }
@@ -459,7 +485,8 @@
         list += (list.empty() ? "" : ",") + it.json;
     }
     if (!list.empty() || Now() >= end) {
-      body = "{\"events\":[" + list + "],\"CurrentRev\":" + std::to_string(revision_) + "}";
+      body = "{\"events\":[" + list +
+             "],\"CurrentRev\":" + std::to_string(revision_) + "}";
       return true;
     }
     if (Now() >= cut) {
@@ -467,7 +494,8 @@
       return false;
     }
     double until = std::min(end, cut) - Now();
-    changed_.wait_for(lock, std::chrono::duration<double>(std::max(until, 0.0005)));
+    changed_.wait_for(lock,
+                      std::chrono::duration<double>(std::max(until, 0.0005)));
   }
 }
 
@@ -483,7 +511,10 @@
       json::object& write = it.as_object();
       // The value of the system's own keys isn't read here; it stays encoded.
       std::string key(write["Key"].as_string());
-      long lease = write.contains("Lease") ? static_cast<long>(write["Lease"].to_number<std::int64_t>()) : 0;
+      long lease =
+          write.contains("Lease")
+              ? static_cast<long>(write["Lease"].to_number<std::int64_t>())
+              : 0;
       if (key.rfind("op/", 0) == 0 || key.rfind("servers/", 0) == 0)
         return 403;
       PutLocked(key, std::string(write["Value"].as_string()), lease);
@@ -502,23 +533,30 @@
   born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
               std::chrono::system_clock::now().time_since_epoch())
               .count();
-  server_ = std::make_unique<Server>("127.0.0.1", [this](Connection& it) { Serve(it); });
+  server_ = std::make_unique<Server>("127.0.0.1",
+                                     [this](Connection& it) { Serve(it); });
 }
 
 double Searcher::Register(const std::string& state) {
-  json::object entry{{"Service", options_.service}, {"Address", server_->address()},
-                     {"Zone", options_.zone},       {"Version", "v1"},
-                     {"Slots", options_.slots},     {"State", state},
-                     {"WarmupLeftMs", 0},           {"Sequence", ++sequence_},
+  json::object entry{{"Service", options_.service},
+                     {"Address", server_->address()},
+                     {"Zone", options_.zone},
+                     {"Version", "v1"},
+                     {"Slots", options_.slots},
+                     {"State", state},
+                     {"WarmupLeftMs", 0},
+                     {"Sequence", ++sequence_},
                      {"born", born_}};
   double at = store_.Put("servers/" + options_.id, json::serialize(entry));
-  Record("searcher %s of %s is registered as %s", id().c_str(), service().c_str(), state.c_str());
+  Record("searcher %s of %s is registered as %s", id().c_str(),
+         service().c_str(), state.c_str());
   return at;
 }
 
 double Searcher::Unregister() {
   double at = store_.Delete("servers/" + options_.id);
-  Record("the entry of searcher %s of %s is removed", id().c_str(), service().c_str());
+  Record("the entry of searcher %s of %s is removed", id().c_str(),
+         service().c_str());
   return at;
 }
 
@@ -542,8 +580,10 @@
     std::string target;
     line >> method >> target;
     std::string id = request->headers.Get("Request-Id");
-    std::string headers = "Request-Id: " + id + "\r\nServer-Load: " + std::to_string(running_) + "," +
-                          std::to_string(waiting_) + "," + std::to_string(options_.slots) + "\r\n";
+    std::string headers = "Request-Id: " + id +
+                          "\r\nServer-Load: " + std::to_string(running_) + "," +
+                          std::to_string(waiting_) + "," +
+                          std::to_string(options_.slots) + "\r\n";
     Arrival arrival{Now(), options_.id, options_.service, id, target, false, 0};
     std::size_t index = 0;
     bool mine = request->headers.Get("Expect-Instance") == options_.id;
@@ -555,7 +595,8 @@
       arrivals.push_back(arrival);
     }
     if (!arrival.ran) {
-      headers += mine ? "Not-Executed: 1\r\n" : "Instance-Id: " + options_.id + "\r\n";
+      headers +=
+          mine ? "Not-Executed: 1\r\n" : "Instance-Id: " + options_.id + "\r\n";
       if (!connection.Write(Reply(mine ? 503 : 421, headers, "")))
         return;
       continue;
@@ -613,18 +654,24 @@
                                         {"Protocol", "h1"},
                                         {"Tls", false}});
   }
-  return json::serialize(json::object{
-      {"Version", version},
-      {"Routes", route_list},
-      {"Services", service_list},
-      {"Limits", json::object{{"MaxHeaderBytes", 16384},
-                              {"MaxBodyBytes", 262144},
-                              {"HeaderTimeoutMs", 3000},
-                              {"IdleTimeoutMs", 15000}}}});
-}
-
-Front::Front(const Store& store, std::string name, std::string zone, std::string ip)
-    : store_(store), name_(std::move(name)), zone_(std::move(zone)), ip_(std::move(ip)) {
+  return json::serialize(
+      json::object{{"Version", version},
+                   {"Routes", route_list},
+                   {"Services", service_list},
+                   {"Limits", json::object{{"MaxHeaderBytes", 16384},
+                                           {"MaxBodyBytes", 262144},
+                                           {"HeaderTimeoutMs", 3000},
+                                           {"IdleTimeoutMs", 15000}}}});
+}
+
+Front::Front(const Store& store,
+             std::string name,
+             std::string zone,
+             std::string ip)
+    : store_(store),
+      name_(std::move(name)),
+      zone_(std::move(zone)),
+      ip_(std::move(ip)) {
   const char* base = std::getenv("REVIEW_TMP");
   Require(base != nullptr, "REVIEW_TMP isn't set");
   directory_ = std::string(base) + "/" + name_;
@@ -635,7 +682,9 @@
 
 void Front::Start() {
   std::string text = ReadFile("deploy/front.ini");
-  Require(!text.empty(), "deploy/front.ini can't be read; run it from the root of the repository");
+  Require(
+      !text.empty(),
+      "deploy/front.ini can't be read; run it from the root of the repository");
   const std::pair<const char*, std::string> values[] = {
       {"NodeName", name_},
       {"Zone", zone_},
@@ -654,11 +703,13 @@
     ReplaceAll(text, "{{" + std::string(key) + "}}", value);
   std::string path = directory_ + "/node.ini";
   std::ofstream(path) << text;
-  int output = open((directory_ + "/log.txt").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  int output = open((directory_ + "/log.txt").c_str(),
+                    O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   std::string variable = "JUJUBECOVE_CONFIG=" + path;
   // The command of the role in deploy/system.toml.
   const char* argv[] = {"target/src/jujubecove-front", nullptr};
-  const char* envp[] = {variable.c_str(), "PATH=/usr/bin:/bin", "LANG=C", nullptr};
+  const char* envp[] = {variable.c_str(), "PATH=/usr/bin:/bin", "LANG=C",
+                        nullptr};
   pid_t parent = getpid();
   pid_t pid = fork();
   Require(pid >= 0, "no process can be started");
@@ -687,7 +738,8 @@
   while (pid_ > 0) {
     int status = 0;
     if (waitpid(pid_, &status, WNOHANG) == pid_) {
-      Record("%s has ended, %s %d", name_.c_str(), WIFEXITED(status) ? "exit code" : "signal",
+      Record("%s has ended, %s %d", name_.c_str(),
+             WIFEXITED(status) ? "exit code" : "signal",
              WIFEXITED(status) ? WEXITSTATUS(status) : WTERMSIG(status));
       pid_ = -1;
       return true;
@@ -707,8 +759,10 @@
 }
 
 bool Front::IsReady() const {
-  std::unique_ptr<Connection> connection = Connection::Open(ip_, ready_port_, 0.5);
-  if (!connection || !connection->Write("GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n"))
+  std::unique_ptr<Connection> connection =
+      Connection::Open(ip_, ready_port_, 0.5);
+  if (!connection ||
+      !connection->Write("GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n"))
     return false;
   std::optional<Message> answer = connection->Read(Now() + 0.5);
   return answer && answer->Status() == 200;
@@ -737,9 +791,11 @@
     front_ = front.name();
   }
   answer.front = front_;
-  std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: " + answer.id +
-                     "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n" +
-                     (method == "GET" ? "" : "Content-Length: 0\r\n") + "\r\n";
+  std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host +
+                     "\r\nRequest-Id: " + answer.id +
+                     "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
+                     "\r\n" + (method == "GET" ? "" : "Content-Length: 0\r\n") +
+                     "\r\n";
   if (!connection_ || !connection_->Write(text)) {
     answer.status = connection_ ? 0 : -1;
     connection_.reset();
--- a/review/standin/world.h
+++ b/review/standin/world.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
