Tell a cut watch from an outage of the store

Cause: after an outage of more than 1.5 s, removals are deferred for 2.3 s, since registrations may have expired. The outage was taken from the last answered call to the next one. A watch without changes waits for seconds, so one that was cut and followed by another that waited looked like an outage.

Change: a watch that ends while it still had to wait was being served until then, so an outage starts with its end. A call that could not be sent, or that was silent beyond its time, still counts from the last answer. The HTTP client reports whether a call was written.

--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -22,9 +22,13 @@
 // A watch waits at least this long, even if the batch delay takes most of its
 // time.
 constexpr Duration kMinWatchWait = milliseconds(200);
+// The shortest wait of a watch: it is answered at once.
+constexpr Duration kProbeWait = milliseconds(1);
 
-const char* ReasonOf(KvStatus status) {
-  return status == KvStatus::kRefused ? "refused by the store" : "no answer";
+const char* ReasonOf(KvStatus status, bool was_waiting) {
+  if (status == KvStatus::kRefused)
+    return "refused by the store";
+  return was_waiting ? "the watch was cut" : "no answer";
 }
 
 }  // namespace
@@ -49,14 +53,18 @@
 
 void StoreWatcher::List() {
   listing_revision_ = StoreRevision{};
-  call_started_ = timers_.Now();
-  store_.Range(prefix_, "",
-               [this](KvPage page) { OnPage("", std::move(page)); });
+  ReadPage("");
+}
+
+void StoreWatcher::ReadPage(const std::string& after) {
+  StartCall(Duration(0));
+  store_.Range(prefix_, after,
+               [this, after](KvPage page) { OnPage(after, std::move(page)); });
 }
 
 void StoreWatcher::OnPage(const std::string& after, KvPage page) {
   if (page.status != KvStatus::kOk) {
-    OnFailure(page.status, &StoreWatcher::List);
+    OnFailure(page, &StoreWatcher::List);
     return;
   }
   OnSuccess();
@@ -68,10 +76,7 @@
   for (const KvItem& it : page.items)
     Apply(it);
   if (page.has_more && !page.items.empty()) {
-    std::string last = page.items.back().key;
-    call_started_ = timers_.Now();
-    store_.Range(prefix_, last,
-                 [this, last](KvPage next) { OnPage(last, std::move(next)); });
+    ReadPage(page.items.back().key);
     return;
   }
   EndListing();
@@ -85,11 +90,11 @@
 }
 
 void StoreWatcher::Watch() {
-  WatchFor(watch_wait_);
+  WatchFor(connected_ ? watch_wait_ : kProbeWait);
 }
 
 void StoreWatcher::WatchFor(Duration wait) {
-  call_started_ = timers_.Now();
+  StartCall(wait);
   store_.Watch(prefix_, watch_revision_, wait,
                [this](KvPage page) { OnEvents(std::move(page)); });
 }
@@ -102,7 +107,7 @@
     return;
   }
   if (page.status != KvStatus::kOk) {
-    OnFailure(page.status, &StoreWatcher::Watch);
+    OnFailure(page, &StoreWatcher::Watch);
     return;
   }
   OnSuccess();
@@ -134,27 +139,37 @@
     applied_revisions_.erase(item.key);
 }
 
+void StoreWatcher::StartCall(Duration wait) {
+  call_started_ = timers_.Now();
+  answer_due_ = call_started_ + wait;
+}
+
 void StoreWatcher::OnSuccess() {
   ++calls_.served;
-  TimePoint now = timers_.Now();
   if (was_disconnected_) {
     was_disconnected_ = false;
-    listener_.OnStoreReconnected(now - last_success_);
+    listener_.OnStoreReconnected(timers_.Now() - outage_started_);
   }
   connected_ = true;
   consecutive_failures_ = 0;
-  last_success_ = now;
+  last_success_ = timers_.Now();
 }
 
-void StoreWatcher::OnFailure(KvStatus status, void (StoreWatcher::*retry)()) {
-  if (status == KvStatus::kRefused)
+void StoreWatcher::OnFailure(const KvPage& page,
+                             void (StoreWatcher::*retry)()) {
+  if (page.status == KvStatus::kRefused)
     ++calls_.refused;
   else
     ++calls_.unanswered;
   if (connected_) {
     connected_ = false;
     was_disconnected_ = true;
-    listener_.OnStoreDisconnected(ReasonOf(status));
+    // A store that ends a watch which still had to wait was serving it.
+    // Otherwise it may have stopped at any time since its last answer.
+    TimePoint now = timers_.Now();
+    bool was_waiting = page.sent && now < answer_due_;
+    outage_started_ = was_waiting ? now : last_success_;
+    listener_.OnStoreDisconnected(ReasonOf(page.status, was_waiting));
   }
   Duration delay = std::min(
       kInitialBackoff * (1 << std::min(consecutive_failures_, kMaxDoublings)),
--- a/src/discovery/store_watcher.h
+++ b/src/discovery/store_watcher.h
@@ -19,7 +19,8 @@
   virtual void OnListingBegin() = 0;
   virtual void OnListingEnd() = 0;
   virtual void OnItem(const KvItem& item) = 0;
-  // The store stopped serving calls, or serves them again after `outage`.
+  // The store stopped serving calls, or serves them again after `outage`, which
+  // is the longest time for which it may not have served.
   virtual void OnStoreDisconnected(const std::string& reason) = 0;
   virtual void OnStoreReconnected(Duration outage) = 0;
 };
@@ -34,7 +35,9 @@
 
 // Lists all keys with a prefix once and then watches for changes since the
 // revision of the listing. It lists again only if the store has compacted the
-// history since its last revision.
+// history since its last revision. After a failure, a watch that does not wait
+// shows at once whether the store serves calls: a watch can be cut without an
+// outage.
 class StoreWatcher {
  public:
   StoreWatcher(TimerService& timers,
@@ -54,6 +57,7 @@
 
  private:
   void List();
+  void ReadPage(const std::string& after);
   void OnPage(const std::string& after, KvPage page);
   void EndListing();
   void Watch();
@@ -61,7 +65,8 @@
   Duration BatchDelay() const;
   void OnEvents(KvPage page);
   void Apply(const KvItem& item);
-  void OnFailure(KvStatus status, void (StoreWatcher::*retry)());
+  void StartCall(Duration wait);
+  void OnFailure(const KvPage& page, void (StoreWatcher::*retry)());
   void OnSuccess();
 
   TimerService& timers_;
@@ -76,8 +81,12 @@
   int fleet_size_ = 1;
   int consecutive_failures_ = 0;
   TimePoint last_success_{};
-  // When the current call started.
+  // When the store may have stopped serving, while it is disconnected.
+  TimePoint outage_started_{};
+  // When the current call started, and from when on a store that serves would
+  // have answered it.
   TimePoint call_started_{};
+  TimePoint answer_due_{};
   StoreCallStats calls_;
   // The watch reports changes after this revision.
   StoreRevision watch_revision_{};
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -59,9 +59,11 @@
   std::weak_ptr<PendingCall> weak = call;
   return timers_.ScheduleAfter(delay, [this, weak] {
     if (CallPtr timed_out = weak.lock()) {
+      bool written =
+          timed_out->connection->state() == ClientConnection::State::kBusy;
       timed_out->connection->Close();
       CloseIdle();
-      Finish(timed_out, std::nullopt);
+      Finish(timed_out, {.written = written, .failure = "no reply in time"});
     }
   });
 }
@@ -101,16 +103,16 @@
                          Send(call);
                      },
                  .connect_failed =
-                     [this, find](const std::string&) {
+                     [this, find](const std::string& reason) {
                        if (CallPtr call = find())
-                         Finish(call, std::nullopt);
+                         Finish(call, {.failure = reason});
                      },
                  .closed = [this, connection](
                                const std::string&) { RemoveIdle(connection); },
                  .finished =
                      [this, find](HttpExchange exchange) {
                        if (CallPtr call = find())
-                         Finish(call, std::move(exchange.reply));
+                         Finish(call, std::move(exchange));
                      },
                  .classify_reply = nullptr});
 }
@@ -120,14 +122,14 @@
   call->connection->Send(std::move(call->head), call->body, false);
 }
 
-void HttpClient::Finish(const CallPtr& call, std::optional<WireReply> reply) {
+void HttpClient::Finish(const CallPtr& call, HttpExchange exchange) {
   CallPtr finished_call = call;
   timers_.Cancel(finished_call->timer);
   timers_.Cancel(finished_call->connect_timer);
   std::erase(calls_, finished_call);
   if (finished_call->connection->state() == ClientConnection::State::kIdle)
     idle_.push_back(finished_call->connection);
-  finished_call->done(std::move(reply));
+  finished_call->done(std::move(exchange));
 }
 
 void HttpClient::RemoveIdle(const ClientConnection* connection) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,8 +18,8 @@
 // call failed is not reused.
 class HttpClient {
  public:
-  // Receives nullopt if no complete reply came in time.
-  using Done = std::function<void(std::optional<WireReply>)>;
+  // The exchange has no reply if no complete one came in time.
+  using Done = std::function<void(HttpExchange)>;
 
   HttpClient(boost::asio::io_context& context,
              TimerService& timers,
@@ -53,7 +52,7 @@
   void Connect(const CallPtr& call);
   TimerId ScheduleTimeout(const CallPtr& call, Duration delay);
   void Send(const CallPtr& call);
-  void Finish(const CallPtr& call, std::optional<WireReply> reply);
+  void Finish(const CallPtr& call, HttpExchange exchange);
   void RemoveIdle(const ClientConnection* connection);
 
   boost::asio::io_context& context_;
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -61,10 +61,11 @@
 }
 
 // `items_field` names the field that holds the items.
-KvPage DecodePage(const std::optional<WireReply>& reply,
-                  std::string_view items_field) {
+KvPage DecodePage(const HttpExchange& exchange, std::string_view items_field) {
+  const std::optional<WireReply>& reply = exchange.reply;
   KvPage page;
   page.status = StatusOf(reply);
+  page.sent = exchange.written;
   if (page.status != KvStatus::kOk)
     return page;
   std::optional<json::object> object = ParseObject(reply->body);
@@ -111,8 +112,8 @@
   if (!after.empty())
     target += "&after=" + EscapeQuery(after);
   client_.Call("GET", target, "", call_timeout_,
-               [done = std::move(done)](std::optional<WireReply> reply) {
-                 done(DecodePage(reply, "items"));
+               [done = std::move(done)](const HttpExchange& exchange) {
+                 done(DecodePage(exchange, "items"));
                });
 }
 
@@ -124,8 +125,8 @@
                        "&after=" + std::to_string(after.value()) + "&WaitMs=" +
                        std::to_string(wait / std::chrono::milliseconds(1));
   client_.Call("GET", target, "", wait + call_timeout_,
-               [done = std::move(done)](std::optional<WireReply> reply) {
-                 done(DecodePage(reply, "events"));
+               [done = std::move(done)](const HttpExchange& exchange) {
+                 done(DecodePage(exchange, "events"));
                });
 }
 
@@ -148,7 +149,8 @@
                              std::function<void(KvWriteResult)> done) {
   client_.Call(
       "POST", "/v1/kv-txn", json::serialize(change), call_timeout_,
-      [done = std::move(done)](const std::optional<WireReply>& reply) {
+      [done = std::move(done)](const HttpExchange& exchange) {
+        const std::optional<WireReply>& reply = exchange.reply;
         KvWriteResult write;
         write.status = StatusOf(reply);
         if (write.status == KvStatus::kOk) {
@@ -166,7 +168,8 @@
                                   std::function<void(KvLeaseResult)> done) {
   json::object body{{"TtlMs", ttl / std::chrono::milliseconds(1)}};
   client_.Call("POST", "/v1/kv-lease", json::serialize(body), call_timeout_,
-               [done = std::move(done)](const std::optional<WireReply>& reply) {
+               [done = std::move(done)](const HttpExchange& exchange) {
+                 const std::optional<WireReply>& reply = exchange.reply;
                  KvLeaseResult lease;
                  lease.status = StatusOf(reply);
                  if (lease.status == KvStatus::kOk) {
@@ -186,8 +189,8 @@
                                   std::function<void(KvStatus)> done) {
   client_.Call("POST", "/v1/kv-keep/" + std::to_string(lease.value()), "",
                call_timeout_,
-               [done = std::move(done)](const std::optional<WireReply>& reply) {
-                 done(StatusOf(reply));
+               [done = std::move(done)](const HttpExchange& exchange) {
+                 done(StatusOf(exchange.reply));
                });
 }
 
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -38,6 +38,8 @@
 
 struct KvPage {
   KvStatus status = KvStatus::kUnknown;
+  // Whether any byte of the call may have reached the store.
+  bool sent = true;
   std::vector<KvItem> items;
   bool has_more = false;
   StoreRevision current_revision;
--- a/tests/standin/fake_kv_store.cc
+++ b/tests/standin/fake_kv_store.cc
@@ -70,8 +70,9 @@
     });
     return;
   }
-  TimePoint until = timers_.Now() + wait;
-  pending_watches_.push_back({prefix, after, until, std::move(done)});
+  bool is_cut = watch_cut_after_ > Duration(0) && watch_cut_after_ < wait;
+  TimePoint until = timers_.Now() + (is_cut ? watch_cut_after_ : wait);
+  pending_watches_.push_back({prefix, after, until, is_cut, std::move(done)});
   timers_.ScheduleAt(until, [this] { AnswerWatches(); });
   timers_.ScheduleAfter(kCallLatency, [this] { AnswerWatches(); });
 }
@@ -85,6 +86,8 @@
       page =
           KvPage{.status = call_status_, .items = {}, .current_revision = {}};
     bool has_expired = timers_.Now() >= it.until;
+    if (has_expired && it.is_cut && page.items.empty())
+      page.status = KvStatus::kUnknown;
     if (page.status == KvStatus::kOk && page.items.empty() && !has_expired)
       pending_watches_.push_back(std::move(it));
     else
--- a/tests/standin/fake_kv_store.h
+++ b/tests/standin/fake_kv_store.h
@@ -45,6 +45,9 @@
   // From now on watches get no answer and end with kUnknown after this time;
   // zero ends the fault.
   void set_watch_loss_timeout(Duration time) { watch_loss_timeout_ = time; }
+  // From now on a watch that has waited for so long without a change ends with
+  // kUnknown, as when its connection is closed; zero ends the fault.
+  void set_watch_cut_after(Duration time) { watch_cut_after_ = time; }
   void set_page_size(std::size_t size) { page_size_ = size; }
   // Runs once, before the second page of a listing is read.
   void set_before_second_page(std::function<void()> action) {
@@ -60,6 +63,8 @@
     std::string prefix;
     StoreRevision after;
     TimePoint until;
+    // Whether it ends without an answer.
+    bool is_cut = false;
     std::function<void(KvPage)> done;
   };
 
@@ -77,6 +82,7 @@
   std::int64_t last_lease_ = 0;
   KvStatus call_status_ = KvStatus::kOk;
   Duration watch_loss_timeout_{};
+  Duration watch_cut_after_{};
   Duration last_watch_wait_{};
   std::size_t page_size_ = 500;
   std::function<void()> before_second_page_;
--- a/tests/unit/discovery/store_watcher_test.cc
+++ b/tests/unit/discovery/store_watcher_test.cc
@@ -111,6 +111,43 @@
   EXPECT_EQ(recorder_.listings_, 1);
 }
 
+// Guards against a return of the store that is noticed late, because the first
+// watch after it waits for a change.
+TEST_F(StoreWatcherTest, NoticesReturnOfStoreWithoutChanges) {
+  watcher_.Start();
+  timers_.AdvanceBy(seconds(1));
+  store_.set_call_status(KvStatus::kUnknown);
+  timers_.AdvanceBy(seconds(5));
+  store_.set_call_status(KvStatus::kOk);
+  timers_.AdvanceBy(seconds(1));
+  EXPECT_TRUE(watcher_.is_connected());
+  EXPECT_GE(recorder_.outage_, seconds(5));
+}
+
+// Guards against outages that are reported although the store only cut watches,
+// and against more than one additional call for each of them.
+TEST_F(StoreWatcherTest, CutWatchesAreNoOutage) {
+  watcher_.Start();
+  store_.set_watch_cut_after(seconds(1));
+  timers_.AdvanceBy(seconds(10));
+  EXPECT_GE(recorder_.disconnects_, 9);
+  EXPECT_LE(store_.calls(), 2 * recorder_.disconnects_ + 3);
+  EXPECT_LE(recorder_.outage_, milliseconds(100));
+}
+
+// Guards against an outage that is not noticed, since a call that was silent
+// for longer than it had to wait may have been so from its start.
+TEST_F(StoreWatcherTest, SilentWatchMayBeOutage) {
+  watcher_.Start();
+  timers_.AdvanceBy(seconds(1));
+  store_.set_watch_loss_timeout(milliseconds(3500));
+  timers_.AdvanceBy(milliseconds(2700));
+  store_.set_watch_loss_timeout(Duration(0));
+  timers_.AdvanceBy(seconds(4));
+  EXPECT_EQ(recorder_.disconnects_, 1);
+  EXPECT_GE(recorder_.outage_, milliseconds(3500));
+}
+
 // Guards against a backoff on top of the time until a silent connection is
 // detected: after refusals, a daemon followed the store again only after 4.6 s
 // instead of 4 s (soak, seed 31).
