Test replies that end within their head or body

Another operator reported a 200 with an empty or short body, framed as whole, after a searcher had stopped in the middle of its reply's head. No code is changed; the tests guard it.

--- a/tests/unit/front/front_daemon_fixture.h
+++ b/tests/unit/front/front_daemon_fixture.h
@@ -66,7 +66,10 @@
     config_.dispatch.own_zone = config_.zone;
     config_.dispatch.retry_budget.slack = 100.0;
   }
-  ~FrontDaemonFixture() override {
+  ~FrontDaemonFixture() override { StopAll(); }
+
+  // Ends the daemon and the thread of the store and the searchers.
+  void StopAll() {
     if (daemon_thread_.joinable()) {
       raise(SIGTERM);
       daemon_thread_.join();
@@ -114,7 +117,8 @@
 
   static FrontReply Get(const SocketAddress& address,
                         const std::string& target,
-                        const std::string& id = "r1") {
+                        const std::string& id = "r1",
+                        int deadline_ms = 1500) {
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket(context);
     boost::system::error_code ec;
@@ -125,7 +129,7 @@
         boost::beast::http::verb::get, target, 11);
     request.set(boost::beast::http::field::host, "h");
     request.set("Request-Id", id);
-    request.set("Deadline-Ms", "1500");
+    request.set("Deadline-Ms", std::to_string(deadline_ms));
     boost::beast::http::write(socket, request, ec);
     boost::beast::flat_buffer buf;
     boost::beast::http::response_parser<boost::beast::http::string_body> parser;
