Answer every request before a planned stop ends

Callers saw connections close without an answer when a VM stopped: requests that came late in the grace, that waited for a searcher, that were half read, and queries that had enough parts for an answer. Some may not be repeated.

Cause: only requests of the last 1.5 s of the grace were refused, however long their route takes, and 0.35 s before the kill the event loop was stopped with whatever was in progress.

Change: while the daemon drains, a request is passed on only if the measured times of its route say that the answer comes before the end. In the last 1.5 s, requests that are at no searcher are refused as not run. 0.35 s before the kill every request in progress gets the best answer that can be given: the parts that are there if they are enough, 502 if it may have run, else 503. The process exits 0.15 s later, or once no connection is left.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -271,6 +271,18 @@
   return run;
 }
 
+Duration Dispatcher::EstimateAnswerTime(const ForwardedRequest& request) const {
+  const Route* route =
+      table_ ? table_->Find(request.host, request.target) : nullptr;
+  if (route == nullptr)
+    return Duration(0);
+  auto it = latencies_.find(route->name);
+  Duration estimate =
+      it == latencies_.end() ? route->target_latency : it->second->UpperBound();
+  return std::min(
+      {estimate, route->timeout, request.deadline.value_or(route->timeout)});
+}
+
 Dispatcher::RunPtr Dispatcher::RefuseUnrouted(const ForwardedRequest& request,
                                               const AnswerHandler& done) {
   CallerAnswer answer;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -41,6 +41,8 @@
   // Calls `done` exactly once, unless the returned run is abandoned. Returns
   // null if the request was answered at once.
   RunPtr Submit(ForwardedRequestPtr request, AnswerHandler done);
+  // Within this time a request that is submitted now is nearly always answered.
+  Duration EstimateAnswerTime(const ForwardedRequest& request) const;
 
   const RouteTablePtr& table() const { return table_; }
   std::size_t ready_searchers() const { return ready_searchers_; }
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -46,6 +46,23 @@
   DetachAll(context_.options.abandoned_grace);
 }
 
+void RequestRun::RefuseIfNotRun() {
+  if (finished_ || MayHaveRun())
+    return;
+  CallerAnswer answer;
+  answer.error = ErrorKind::kShuttingDown;
+  answer.reason = kStoppingReason;
+  // Other VMs can take it at once.
+  answer.retry_after = Duration(0);
+  Finish(std::move(answer));
+}
+
+void RequestRun::EndNow() {
+  RefuseIfNotRun();
+  if (!finished_)
+    AnswerNow(kStoppingReason);
+}
+
 void RequestRun::SetTimer(TimePoint when) {
   context_.timers.Cancel(timer_);
   std::weak_ptr<RequestRun> self = weak_from_this();
@@ -118,6 +135,14 @@
   return LaunchedAttempt{id, searcher};
 }
 
+bool RequestRun::IsAnyWritten(
+    const std::vector<LaunchedAttempt>& in_flight) const {
+  return std::any_of(in_flight.begin(), in_flight.end(),
+                     [this](const LaunchedAttempt& it) {
+                       return context_.launcher.IsWritten(it.id);
+                     });
+}
+
 RouteKind RequestRun::kind() const {
   if (route().scatter)
     return RouteKind::kScatter;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -30,6 +30,8 @@
 // Why a VM refuses what it can't serve with the searchers that it can reach.
 inline constexpr char kIsolatedReason[] =
     "this VM is cut off from the other availability zones";
+// Why a VM refuses what it can't finish before it stops, or ends it.
+inline constexpr char kStoppingReason[] = "this VM is about to stop";
 // Time in which the balancer turns to VMs of other availability zones.
 inline constexpr Duration kFailoverTime = std::chrono::seconds(2);
 
@@ -64,12 +66,21 @@
   void Begin();
   // Ends the run without an answer, because the caller disconnected.
   void Abandon();
+  // Refuses the request unless it may have run, because the process stops.
+  void RefuseIfNotRun();
+  // Ends the run with the best answer that can be given now, because the
+  // process is about to exit.
+  void EndNow();
 
  protected:
   virtual void Start() = 0;
   // Detaches the attempts in flight.
   virtual void DetachAll(Duration grace) = 0;
   virtual void OnTimer() = 0;
+  // Whether any attempt has run or may still run.
+  virtual bool MayHaveRun() const = 0;
+  // Answers a request that may have run.
+  virtual void AnswerNow(const std::string& reason) = 0;
   // Adds fields to the log line of the answer that help to explain its latency.
   virtual void Describe(DecisionLine& line) const = 0;
 
@@ -95,6 +106,8 @@
   LaunchedAttempt Launch(const PooledSearcherPtr& searcher,
                          TimePoint reply_deadline,
                          ReplyHandler done);
+  // Whether any of the attempts was written to a connection.
+  bool IsAnyWritten(const std::vector<LaunchedAttempt>& in_flight) const;
   DecisionLine Log(std::string_view event, DecisionPriority priority);
   // Take an extra attempt from the service's budget and update the metrics.
   // Return false if the budget denies it.
--- a/src/dispatch/route_latency.cc
+++ b/src/dispatch/route_latency.cc
@@ -9,6 +9,9 @@
 // Estimates before any observation: the target latency divided by these.
 constexpr int kInitialLatencyTargetDivisor = 8;
 constexpr int kInitialHedgeTargetDivisor = 4;
+constexpr double kUpperQuantile = 0.99;
+// Replaces the quantile of too few observations.
+constexpr int kUpperMeanFactor = 2;
 // An earlier hedge would only repeat work that is about to end.
 constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(3);
 
@@ -26,6 +29,11 @@
   return Duration(static_cast<Duration::rep>(mean_us_));
 }
 
+Duration RouteLatency::UpperBound() const {
+  return std::max(histogram_.Quantile(kUpperQuantile, target_),
+                  kUpperMeanFactor * typical());
+}
+
 Duration RouteLatency::HedgeDelay(double quantile) const {
   Duration delay =
       histogram_.Quantile(quantile, target_ / kInitialHedgeTargetDivisor);
--- a/src/dispatch/route_latency.h
+++ b/src/dispatch/route_latency.h
@@ -13,6 +13,8 @@
   // Moving average, or an estimate from the target before any observation.
   Duration typical() const;
   Duration target() const { return target_; }
+  // Nearly all replies come within this time.
+  Duration UpperBound() const;
   // How long to wait for a reply before a hedge is sent.
   Duration HedgeDelay(double quantile) const;
 
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -197,10 +197,7 @@
 
 void ScatterRun::OnTimer() {
   if (now() >= deadline()) {
-    if (answered_shards_ >= required())
-      AnswerWithParts();
-    else
-      FailWithTooFewParts("the deadline passed");
+    AnswerNow("the deadline passed");
     return;
   }
   CheckOverdue();
@@ -213,6 +210,20 @@
     UpdateTimer();
 }
 
+bool ScatterRun::MayHaveRun() const {
+  return may_have_run_ ||
+         std::any_of(shards_.begin(), shards_.end(), [this](const Shard& it) {
+           return IsAnyWritten(it.in_flight);
+         });
+}
+
+void ScatterRun::AnswerNow(const std::string& reason) {
+  if (answered_shards_ >= required())
+    AnswerWithParts();
+  else
+    FailWithTooFewParts(reason);
+}
+
 void ScatterRun::CheckOverdue() {
   if (now() < overdue_check_at_ || overdue_check_at_ == TimePoint{})
     return;
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -24,6 +24,8 @@
   void Start() override;
   void DetachAll(Duration grace) override;
   void OnTimer() override;
+  bool MayHaveRun() const override;
+  void AnswerNow(const std::string& reason) override;
   void Describe(DecisionLine& line) const override;
 
  private:
@@ -74,7 +76,7 @@
   // Searcher and time, since the request was received, of the latest part.
   std::string last_part_searcher_;
   Duration last_part_took_{};
-  // Whether any attempt may have run.
+  // Whether an attempt that has ended may have run.
   bool may_have_run_ = false;
 };
 
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -138,9 +138,7 @@
 
 void SingleRun::OnTimer() {
   if (now() >= deadline()) {
-    for (const LaunchedAttempt& it : in_flight_)
-      may_have_run_ = may_have_run_ || context().launcher.IsWritten(it.id);
-    if (may_have_run_)
+    if (MayHaveRun())
       Fail(ErrorKind::kDeadlineExceeded, "no reply in time");
     else
       Fail(ErrorKind::kDeadlineUnmeetable, "no connection in time");
@@ -164,6 +162,14 @@
   UpdateTimer();
 }
 
+bool SingleRun::MayHaveRun() const {
+  return may_have_run_ || IsAnyWritten(in_flight_);
+}
+
+void SingleRun::AnswerNow(const std::string& reason) {
+  Fail(ErrorKind::kOutcomeUnknown, reason);
+}
+
 void SingleRun::Describe(DecisionLine& line) const {
   line.Add("service", pool_->name().value()).Add("attempts", tried_.size());
   if (!tried_.empty())
--- a/src/dispatch/single_run.h
+++ b/src/dispatch/single_run.h
@@ -21,6 +21,8 @@
   void Start() override;
   void DetachAll(Duration grace) override;
   void OnTimer() override;
+  bool MayHaveRun() const override;
+  void AnswerNow(const std::string& reason) override;
   void Describe(DecisionLine& line) const override;
 
  private:
@@ -37,7 +39,7 @@
   std::vector<LaunchedAttempt> in_flight_;
   int sent_ = 0;
   TimePoint hedge_at_;
-  // Whether any attempt may have run.
+  // Whether an attempt that has ended may have run.
   bool may_have_run_ = false;
 };
 
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -21,10 +21,12 @@
 constexpr Duration kDrainCheckInterval = milliseconds(100);
 // While draining, connections idle for this long are closed.
 constexpr Duration kDrainIdleTimeout = milliseconds(250);
-// Before the kill, new requests are refused, because they might not finish in
-// time, and then the process exits by itself.
+// Before the kill, requests that are not at a searcher are refused, because
+// they might not finish in time; then the others are answered, and the process
+// exits by itself once the answers have had time to be sent.
 constexpr Duration kRefuseBeforeKill = milliseconds(1500);
-constexpr Duration kExitBeforeKill = milliseconds(350);
+constexpr Duration kAnswerBeforeKill = milliseconds(350);
+constexpr Duration kExitBeforeKill = milliseconds(200);
 // Interval of the checks for a changed settings file.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
 constexpr int kStatusOk = 200;
@@ -152,18 +154,27 @@
 std::shared_ptr<RequestRun> FrontDaemon::Submit(
     ForwardedRequestPtr request,
     RequestRun::AnswerHandler done) {
-  bool past_cutoff = draining_ && timers_.Now() - drain_started_ >
-                                      config_.drain_grace - kRefuseBeforeKill;
-  if (!past_cutoff)
+  if (!draining_ || CanFinish(*request))
     return dispatcher_.Submit(std::move(request), std::move(done));
   CallerAnswer answer;
   answer.error = ErrorKind::kShuttingDown;
-  answer.reason = "this VM is about to stop";
+  answer.reason = kStoppingReason;
   answer.retry_after = Duration(0);
   done(std::move(answer));
   return nullptr;
 }
 
+bool FrontDaemon::IsPastCutoff() const {
+  return timers_.Now() - drain_started_ >
+         config_.drain_grace - kRefuseBeforeKill;
+}
+
+bool FrontDaemon::CanFinish(const ForwardedRequest& request) const {
+  TimePoint end = drain_started_ + config_.drain_grace - kAnswerBeforeKill;
+  return !IsPastCutoff() &&
+         timers_.Now() + dispatcher_.EstimateAnswerTime(request) < end;
+}
+
 void FrontDaemon::OnRequestRejected(ErrorKind kind, const std::string& reason) {
   DecisionLine(log_, LogCategory::kFrontend, DecisionPriority::kNotable,
                "input_refused", timers_.Now())
@@ -250,7 +261,8 @@
 }
 
 // Serves requests until the balancer has removed this VM. Then closes idle
-// connections, and exits when no connection is left.
+// connections, and exits when no connection is left or the grace is about to
+// end.
 void FrontDaemon::BeginDrain() {
   if (draining_) {
     context_.stop();
@@ -263,18 +275,26 @@
       .Add("connections", caller_server_.connections());
   discovery_.Leave([] {});
   timers_.ScheduleAfter(kBalancerRemovalTime, [this] { ContinueDrain(); });
+  timers_.ScheduleAfter(config_.drain_grace - kAnswerBeforeKill,
+                        [this] { EndDrain(); });
 }
 
 void FrontDaemon::ContinueDrain() {
-  Duration passed = timers_.Now() - drain_started_;
   caller_server_.StopAccepting();
   caller_server_.CloseIdle(kDrainIdleTimeout);
-  if (caller_server_.connections() == 0 ||
-      passed > config_.drain_grace - kExitBeforeKill) {
+  if (caller_server_.connections() == 0) {
     context_.stop();
     return;
   }
+  if (IsPastCutoff())
+    caller_server_.RefuseIfNotRun();
   timers_.ScheduleAfter(kDrainCheckInterval, [this] { ContinueDrain(); });
 }
 
+void FrontDaemon::EndDrain() {
+  caller_server_.EndNow();
+  timers_.ScheduleAfter(kAnswerBeforeKill - kExitBeforeKill,
+                        [this] { context_.stop(); });
+}
+
 }  // namespace jujubecove
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -51,6 +51,13 @@
   void WatchSettings();
   void BeginDrain();
   void ContinueDrain();
+  // Answers what is still in progress and exits shortly after.
+  void EndDrain();
+  // Whether a request that arrives now can be answered before this process
+  // exits.
+  bool CanFinish(const ForwardedRequest& request) const;
+  // Whether the rest of the grace is left to requests that are at searchers.
+  bool IsPastCutoff() const;
   void FlushLog();
   FrontState CollectState() const;
 
--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -288,6 +288,19 @@
   Read();
 }
 
+void IngressConnection::RefuseIfNotRun() {
+  // The answer releases run_.
+  if (std::shared_ptr<RequestRun> run = run_)
+    run->RefuseIfNotRun();
+}
+
+void IngressConnection::EndNow() {
+  if (std::shared_ptr<RequestRun> run = run_)
+    run->EndNow();
+  else if (state_ == State::kReading && parser_)
+    Reject(ErrorKind::kShuttingDown, kStoppingReason);
+}
+
 void IngressConnection::CheckTimeouts(TimePoint now) {
   const IngressLimits& limits = host_.limits();
   if (state_ == State::kWriting && !lingering_ &&
--- a/src/ingress/ingress_connection.h
+++ b/src/ingress/ingress_connection.h
@@ -42,6 +42,11 @@
   TimePoint idle_since() const { return last_progress_; }
   // Closes the connection, or rejects its partial request, on a timeout.
   void CheckTimeouts(TimePoint now);
+  // Refuses the request in progress unless it may have run.
+  void RefuseIfNotRun();
+  // Answers the request in progress and refuses one that is incomplete, because
+  // the process is about to exit.
+  void EndNow();
 
  private:
   enum class State : std::uint8_t { kReading, kRunning, kWriting, kClosed };
--- a/src/ingress/ingress_server.cc
+++ b/src/ingress/ingress_server.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/post.hpp>
 #include <utility>
-#include <vector>
 
 #include "telemetry/log.h"
 
@@ -129,13 +128,28 @@
   });
 }
 
-void IngressServer::CheckTimeouts() {
-  TimePoint now = timers_.Now();
+std::vector<std::shared_ptr<IngressConnection>> IngressServer::AllConnections()
+    const {
   std::vector<std::shared_ptr<IngressConnection>> all;
   all.reserve(connections_.size());
   for (const auto& [key, it] : connections_)
     all.push_back(it);
-  for (const std::shared_ptr<IngressConnection>& it : all)
+  return all;
+}
+
+void IngressServer::RefuseIfNotRun() {
+  for (const std::shared_ptr<IngressConnection>& it : AllConnections())
+    it->RefuseIfNotRun();
+}
+
+void IngressServer::EndNow() {
+  for (const std::shared_ptr<IngressConnection>& it : AllConnections())
+    it->EndNow();
+}
+
+void IngressServer::CheckTimeouts() {
+  TimePoint now = timers_.Now();
+  for (const std::shared_ptr<IngressConnection>& it : AllConnections())
     it->CheckTimeouts(now);
   timers_.ScheduleAfter(kTimeoutCheckInterval, [this] { CheckTimeouts(); });
 }
--- a/src/ingress/ingress_server.h
+++ b/src/ingress/ingress_server.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "base/result.h"
 #include "ingress/ingress_connection.h"
@@ -27,6 +28,9 @@
   // Closes connections that have been idle for at least `idle`, after pending
   // handlers have run.
   void CloseIdle(Duration idle);
+  // See IngressConnection.
+  void RefuseIfNotRun();
+  void EndNow();
   std::size_t connections() const { return connections_.size(); }
 
  private:
@@ -34,6 +38,8 @@
   void AcceptQueued();
   void Add(boost::asio::ip::tcp::socket socket);
   void CheckTimeouts();
+  // A copy, since connections remove themselves.
+  std::vector<std::shared_ptr<IngressConnection>> AllConnections() const;
   // Closes the connection that has waited longest for its caller, to make room
   // for a new one.
   void CloseLongestWaiting();
