Build the refusal of a stopping VM in one place

Read as a newcomer: the front daemon and the run each built the same answer, and a comment described a constant by a case in which it is not used.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -41,7 +41,8 @@
   // Calls `done` exactly once, unless the returned run is abandoned. Returns
   // null if the request was answered at once.
   RunPtr Submit(ForwardedRequestPtr request, AnswerHandler done);
-  // Within this time a request that is submitted now is nearly always answered.
+  // Within this time a request that is submitted now is nearly always answered,
+  // unless it has to wait for a searcher.
   Duration EstimateAnswerTime(const ForwardedRequest& request) const;
 
   const RouteTablePtr& table() const { return table_; }
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 namespace jujubecove {
+
 PooledSearcherPtr RemoveInFlight(std::vector<LaunchedAttempt>& in_flight,
                                  AttemptId id) {
   auto it =
@@ -16,6 +17,15 @@
   return searcher;
 }
 
+CallerAnswer RefusalWhileStopping() {
+  CallerAnswer answer;
+  answer.error = ErrorKind::kShuttingDown;
+  answer.reason = kStoppingReason;
+  // Other VMs can take it at once.
+  answer.retry_after = Duration(0);
+  return answer;
+}
+
 RequestRun::RequestRun(RunContext& context,
                        RoutedRequest routed,
                        AnswerHandler done)
@@ -49,12 +59,7 @@
 void RequestRun::RefuseIfNotRun() {
   if (finished_ || MayHaveRun())
     return;
-  CallerAnswer answer;
-  answer.error = ErrorKind::kShuttingDown;
-  answer.reason = kStoppingReason;
-  // Other VMs can take it at once.
-  answer.retry_after = Duration(0);
-  Finish(std::move(answer));
+  Finish(RefusalWhileStopping());
 }
 
 void RequestRun::EndNow() {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -32,6 +32,8 @@
     "this VM is cut off from the other availability zones";
 // Why a VM refuses what it can't finish before it stops, or ends it.
 inline constexpr char kStoppingReason[] = "this VM is about to stop";
+// The refusal of a request that has not run, because this VM is about to stop.
+CallerAnswer RefusalWhileStopping();
 // Time in which the balancer turns to VMs of other availability zones.
 inline constexpr Duration kFailoverTime = std::chrono::seconds(2);
 
--- a/src/dispatch/route_latency.cc
+++ b/src/dispatch/route_latency.cc
@@ -10,7 +10,7 @@
 constexpr int kInitialLatencyTargetDivisor = 8;
 constexpr int kInitialHedgeTargetDivisor = 4;
 constexpr double kUpperQuantile = 0.99;
-// Replaces the quantile of too few observations.
+// At least this multiple of the mean, for routes with few observations.
 constexpr int kUpperMeanFactor = 2;
 // An earlier hedge would only repeat work that is about to end.
 constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(3);
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -156,11 +156,7 @@
     RequestRun::AnswerHandler done) {
   if (!draining_ || CanFinish(*request))
     return dispatcher_.Submit(std::move(request), std::move(done));
-  CallerAnswer answer;
-  answer.error = ErrorKind::kShuttingDown;
-  answer.reason = kStoppingReason;
-  answer.retry_after = Duration(0);
-  done(std::move(answer));
+  done(RefusalWhileStopping());
   return nullptr;
 }
 
