Read callers' bytes only when none of them can be consumed

Cause: while a request runs, a read into the connection's buffer is pending. Writing its answer parses the pipelined request and consumes its bytes; a flat_buffer that becomes empty starts again at its beginning, so the pending read commits the bytes of the consumed request.

Change: the connection waits for its socket to be readable and then reads and parses in one step, so that no read is pending when bytes are consumed. The classes that read replies parse only in the handler of their read.

--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -50,7 +50,8 @@
 void IngressConnection::Start() {
   error_code ignored;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  Read();
+  socket_.non_blocking(true, ignored);
+  AwaitReadable();
 }
 
 void IngressConnection::Close() {
@@ -65,17 +66,26 @@
   closed_(this);
 }
 
-void IngressConnection::Read() {
-  if (reading_ || state_ == State::kClosed)
+void IngressConnection::AwaitReadable() {
+  if (awaiting_readable_ || state_ == State::kClosed)
     return;
-  reading_ = true;
+  awaiting_readable_ = true;
   std::shared_ptr<IngressConnection> self = shared_from_this();
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self](const error_code& ec, std::size_t size) {
-                            self->reading_ = false;
-                            if (self->state_ != State::kClosed)
-                              self->OnRead(ec, size);
-                          });
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [self](const error_code&) {
+                       self->awaiting_readable_ = false;
+                       if (self->state_ != State::kClosed)
+                         self->Read();
+                     });
+}
+
+void IngressConnection::Read() {
+  error_code ec;
+  std::size_t size = socket_.read_some(buffer_.prepare(kReadBytes), ec);
+  if (ec == boost::asio::error::would_block)
+    AwaitReadable();
+  else
+    OnRead(ec, size);
 }
 
 void IngressConnection::OnRead(const error_code& ec, std::size_t size) {
@@ -86,7 +96,7 @@
   }
   if (lingering_) {
     buffer_.clear();
-    Read();
+    AwaitReadable();
     return;
   }
   last_progress_ = timers_.Now();
@@ -101,7 +111,7 @@
   // been written.
   if (state_ == State::kReading ||
       (state_ != State::kClosed && buffer_.size() < kMaxPipelinedBytes))
-    Read();
+    AwaitReadable();
 }
 
 bool IngressConnection::HasUnreadBytes() const {
@@ -270,7 +280,7 @@
   }
   state_ = State::kReading;
   ParseBuffered();
-  Read();
+  AwaitReadable();
 }
 
 // Closing a socket with unread bytes resets the connection, and the caller
@@ -285,7 +295,7 @@
     if (std::shared_ptr<IngressConnection> connection = self.lock())
       connection->Close();
   });
-  Read();
+  AwaitReadable();
 }
 
 void IngressConnection::RefuseIfNotRun() {
--- a/src/ingress/ingress_connection.h
+++ b/src/ingress/ingress_connection.h
@@ -19,6 +19,10 @@
 // one is parsed after the previous answer has been written. Reading continues
 // while a request runs, to detect a client disconnect at once. A caller that
 // shuts down only its sending side counts as disconnected.
+//
+// The buffer is filled and parsed on the event thread only: what is pending
+// between events is a wait for bytes, never a read into the buffer. Bytes can
+// therefore be consumed at any time.
 class IngressConnection
     : public std::enable_shared_from_this<IngressConnection> {
  public:
@@ -53,6 +57,7 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  void AwaitReadable();
   void Read();
   void OnRead(const boost::system::error_code& ec, std::size_t size);
   // Whether bytes have arrived that were not read yet.
@@ -80,7 +85,7 @@
   const CallerProtocol& protocol_;
   std::function<void(IngressConnection*)> closed_;
   State state_ = State::kReading;
-  bool reading_ = false;
+  bool awaiting_readable_ = false;
   // The last answer has been written; waits for the caller to close.
   bool lingering_ = false;
   bool continue_sent_ = false;
