Add interfaces for workspaces, calls between entry daemons and overridden settings

The parts for the customers with hard load share these: workspaces in the decoded configuration, the address of each entry daemon in its registration, an HTTP server and client for calls between entry daemons, and a request that is pending before or instead of its dispatch.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -13,6 +13,10 @@
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
 // Name of an availability zone.
 using ZoneName = StrongId<struct ZoneNameTag, std::string>;
+// Name of a region, which contains availability zones.
+using RegionName = StrongId<struct RegionNameTag, std::string>;
+// Name of a workspace, on whose behalf callers send requests.
+using WorkspaceName = StrongId<struct WorkspaceNameTag, std::string>;
 // Identifies a caller, for fairness only.
 using CallerName = StrongId<struct CallerNameTag, std::string>;
 // Identifies a VM in the platform's list: an upstream or an entry daemon.
--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -7,7 +7,6 @@
 #include <iterator>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include "daemon/daemon.h"
@@ -15,6 +14,7 @@
 #include "daemon/exit_code.h"
 #include "document/document_parser.h"
 #include "settings/ini_file.h"
+#include "settings/overrides.h"
 
 DEFINE_string(config, "", "INI file with the settings");
 DEFINE_string(
@@ -104,29 +104,6 @@
 
 }  // namespace
 
-std::vector<std::string> TakeOverrides(std::vector<std::string>& arguments) {
-  std::vector<std::string> values;
-  std::vector<std::string> rest;
-  for (std::size_t n = 0; n < arguments.size(); ++n) {
-    const std::string& it = arguments[n];
-    bool is_flag = it == "--set" || it == "-set";
-    if (is_flag && n + 1 < arguments.size())
-      values.push_back(arguments[++n]);
-    else if (it.starts_with("--set=") || it.starts_with("-set="))
-      values.push_back(it.substr(it.find('=') + 1));
-    else
-      rest.push_back(it);
-  }
-  arguments = std::move(rest);
-  std::vector<std::string> overrides;
-  for (const std::string& value : values) {
-    std::istringstream stream(value);
-    for (std::string part; std::getline(stream, part, ',');)
-      overrides.push_back(part);
-  }
-  return overrides;
-}
-
 int RunDaemon(int argc, char** argv) {
   std::vector<std::string> arguments(argv, argv + argc);
   std::vector<std::string> overrides = TakeOverrides(arguments);
--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -31,6 +31,13 @@
 // only one connection to each searcher.
 constexpr Duration kJoinTime = std::chrono::seconds(2);
 
+DaemonEntry OwnEntry(const DaemonConfig& config) {
+  DaemonEntry entry;
+  entry.vm = config.vm;
+  entry.zone = config.zone;
+  return entry;
+}
+
 }  // namespace
 
 ControlPlane::ControlPlane(EventLoopThread& thread,
@@ -50,7 +57,7 @@
                  store_,
                  codec_,
                  log_,
-                 {config.vm, config.zone, kStoreWatchWait, SystemSeed()},
+                 {OwnEntry(config), kStoreWatchWait, SystemSeed()},
                  DiscoveryCallbacks()),
       query_tasks_(MakeTaskChannel(query_thread.context(), kQueryTaskCapacity)),
       live_daemons_(metrics.AddGauge("jujubecove_daemons_live",
--- a/src/discovery/discovery_client.cc
+++ b/src/discovery/discovery_client.cc
@@ -30,8 +30,7 @@
       fleet_(timers,
              store,
              codec,
-             options.vm,
-             options.zone,
+             options.own,
              [this](int size) {
                watcher_.set_fleet_size(size);
                callbacks_.fleet_size_changed(size);
@@ -62,8 +61,9 @@
   } else if (item.key.starts_with(codec_.searcher_prefix())) {
     OnSearcher(item);
   } else if (item.key.starts_with(codec_.daemon_prefix())) {
-    fleet_.OnDaemonRegistration(item.key.substr(codec_.daemon_prefix().size()),
-                                !item.removed);
+    fleet_.OnDaemonRegistration(
+        item.key.substr(codec_.daemon_prefix().size()),
+        item.removed ? std::nullopt : std::optional<std::string>(item.value));
   }
 }
 
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -23,8 +23,7 @@
     FleetMembership::SizeListener fleet_size_changed;
   };
   struct Options {
-    VmId vm;
-    ZoneName zone;
+    DaemonEntry own;
     Duration watch_wait{};
     std::uint64_t seed = 0;
   };
@@ -43,6 +42,7 @@
   // Whether a configuration and a listing of the searchers have been received.
   bool IsSynced() const { return has_table_ && watcher_.is_listed(); }
   bool IsStoreConnected() const { return watcher_.is_connected(); }
+  FleetDirectory& fleet() { return fleet_.directory(); }
 
   // When the current configuration was applied.
   TimePoint table_applied_at() const { return table_since_; }
--- a/src/discovery/fleet_membership.cc
+++ b/src/discovery/fleet_membership.cc
@@ -24,14 +24,12 @@
 FleetMembership::FleetMembership(TimerService& timers,
                                  KvStore& store,
                                  const RegistrationCodec& codec,
-                                 VmId vm,
-                                 ZoneName zone,
+                                 DaemonEntry own,
                                  SizeListener on_size)
     : timers_(timers),
       store_(store),
       codec_(codec),
-      vm_(std::move(vm)),
-      zone_(std::move(zone)),
+      own_(std::move(own)),
       on_size_(std::move(on_size)) {}
 
 void FleetMembership::Join() {
@@ -57,8 +55,8 @@
     return;
   }
   lease_ = lease.lease;
-  store_.Put(codec_.daemon_prefix() + vm_.value(),
-             codec_.EncodeDaemon(vm_, zone_), lease_,
+  store_.Put(codec_.daemon_prefix() + own_.vm.value(),
+             codec_.EncodeDaemon(own_), lease_,
              [this](KvWriteResult write) { OnRegistered(write.status); });
 }
 
@@ -101,14 +99,16 @@
 
 void FleetMembership::Leave(std::function<void()> done) {
   joined_ = false;
-  store_.Delete(codec_.daemon_prefix() + vm_.value(),
+  store_.Delete(codec_.daemon_prefix() + own_.vm.value(),
                 [done = std::move(done)](const KvWriteResult&) { done(); });
 }
 
-void FleetMembership::OnDaemonRegistration(const std::string& id,
-                                           bool present) {
-  if (present) {
+void FleetMembership::OnDaemonRegistration(
+    const std::string& id,
+    const std::optional<std::string>& value) {
+  if (value) {
     daemons_[id] = std::nullopt;
+    UpdateDirectory(VmId(id), *value);
     if (listing_)
       listed_ids_.insert(id);
   } else {
@@ -118,14 +118,27 @@
     ReportSize();
 }
 
+void FleetMembership::UpdateDirectory(const VmId& vm,
+                                      const std::string& value) {
+  Result<DaemonEntry> entry = codec_.DecodeDaemon(vm, value);
+  if (entry) {
+    directory_.Put(entry.value());
+    return;
+  }
+  JJ_LOG(kMembership, WARNING) << "the registration of daemon " << vm
+                               << " is malformed: " << entry.error().detail;
+  directory_.Remove(vm);
+}
+
 void FleetMembership::MarkGone(const std::string& id) {
   auto it = daemons_.find(id);
   if (it == daemons_.end() || it->second)
     return;
   it->second = timers_.Now();
+  directory_.Remove(VmId(id));
   timers_.ScheduleAfter(kCountedAfterRemoval, [this] { EvictGone(); });
   // The store may remove a registration before its lease expires.
-  if (id == vm_.value() && registered_) {
+  if (id == own_.vm.value() && registered_) {
     lease_ = StoreLease{};
     Register();
   }
@@ -158,7 +171,7 @@
 }
 
 void FleetMembership::ReportSize() {
-  int self_count = daemons_.contains(vm_.value()) ? 0 : 1;
+  int self_count = daemons_.contains(own_.vm.value()) ? 0 : 1;
   int size = static_cast<int>(daemons_.size()) + self_count;
   if (size == reported_size_)
     return;
--- a/src/discovery/fleet_membership.h
+++ b/src/discovery/fleet_membership.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "discovery/fleet_directory.h"
 #include "discovery/registration_codec.h"
 #include "kernel/timer_service.h"
 #include "store/kv_store.h"
@@ -24,8 +25,7 @@
   FleetMembership(TimerService& timers,
                   KvStore& store,
                   const RegistrationCodec& codec,
-                  VmId vm,
-                  ZoneName zone,
+                  DaemonEntry own,
                   SizeListener on_size);
 
   // Registers and keeps the registration until Leave.
@@ -33,17 +33,23 @@
   // Removes the registration and calls `done` after success or failure.
   void Leave(std::function<void()> done);
 
-  // A registration was read from the store or was removed.
-  void OnDaemonRegistration(const std::string& id, bool present);
+  // A registration was read from the store or was removed, in which case there
+  // is no value.
+  void OnDaemonRegistration(const std::string& id,
+                            const std::optional<std::string>& value);
   void BeginListing();
   void EndListing();
 
+  // The daemons whose registrations can be read.
+  FleetDirectory& directory() { return directory_; }
+
  private:
   void Register();
   void OnLease(KvLeaseResult lease);
   void OnRegistered(KvStatus status);
   void Renew();
   void RetryLater();
+  void UpdateDirectory(const VmId& vm, const std::string& value);
   void MarkGone(const std::string& id);
   void EvictGone();
   void ReportSize();
@@ -51,9 +57,9 @@
   TimerService& timers_;
   KvStore& store_;
   const RegistrationCodec& codec_;
-  VmId vm_;
-  ZoneName zone_;
+  DaemonEntry own_;
   SizeListener on_size_;
+  FleetDirectory directory_;
   // By id, with the time of removal if the registration was removed.
   std::unordered_map<std::string, std::optional<TimePoint>> daemons_;
   std::unordered_set<std::string> listed_ids_;
--- a/src/discovery/registration_codec.h
+++ b/src/discovery/registration_codec.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "discovery/daemon_entry.h"
 #include "discovery/searcher_entry.h"
 #include "route/route.h"
 
@@ -25,8 +26,10 @@
   virtual Result<SearcherEntry> DecodeSearcher(
       const InstanceId& id,
       const std::string& value) const = 0;
-  virtual std::string EncodeDaemon(const VmId& vm,
-                                   const ZoneName& zone) const = 0;
+  virtual std::string EncodeDaemon(const DaemonEntry& entry) const = 0;
+  // Fails for a value that no entry daemon has written.
+  virtual Result<DaemonEntry> DecodeDaemon(const VmId& vm,
+                                           const std::string& value) const = 0;
 };
 
 }  // namespace jujubecove
--- a/src/dispatch/forwarded_request.h
+++ b/src/dispatch/forwarded_request.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/error_kind.h"
+#include "base/ids.h"
 #include "base/units.h"
 #include "http/header_field.h"
 
@@ -21,6 +22,8 @@
   std::string host;
   // Without hop-by-hop fields.
   HeaderFields headers;
+  // The workspace that holds the caller's API key. Searchers are told its name.
+  std::optional<WorkspaceName> workspace;
   std::shared_ptr<const std::string> body;
   // Relative to `received`, as given by the caller.
   std::optional<Duration> deadline;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -9,6 +9,7 @@
 #include "dispatch/attempt_launcher.h"
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/dispatch_options.h"
+#include "dispatch/pending_request.h"
 #include "dispatch/retry_advice.h"
 #include "route/route_table.h"
 #include "telemetry/decision_log.h"
@@ -57,22 +58,17 @@
 };
 
 // Handles one caller's request from its admission to its answer.
-class RequestRun : public std::enable_shared_from_this<RequestRun> {
+class RequestRun : public PendingRequest,
+                   public std::enable_shared_from_this<RequestRun> {
  public:
   using AnswerHandler = std::function<void(CallerAnswer)>;
 
   RequestRun(RunContext& context, RoutedRequest routed, AnswerHandler done);
-  virtual ~RequestRun() = default;
-
   // Refuses a request whose deadline has passed, otherwise starts it.
   void Begin();
-  // Ends the run without an answer, because the caller disconnected.
-  void Abandon();
-  // Refuses the request unless it may have run, because the process stops.
-  void RefuseIfNotRun();
-  // Ends the run with the best answer that can be given now, because the
-  // process is about to exit.
-  void EndNow();
+  void Abandon() override;
+  void RefuseIfNotRun() override;
+  void EndNow() override;
 
  protected:
   virtual void Start() = 0;
--- a/src/dispatch/searcher_transport.h
+++ b/src/dispatch/searcher_transport.h
@@ -32,6 +32,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 1;
+  // How long work takes at this moment, relative to the usual.
+  double slowdown = 1.0;
 };
 
 struct AttemptReply {
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kLogBufferBytes = 256U << 10U;
 constexpr Duration kLogFlushInterval = milliseconds(100);
 constexpr std::size_t kOperationsConnections = 64;
+constexpr std::size_t kPeerConnections = 1024;
 // The balancer checks readiness every second and removes a VM after two failed
 // checks.
 constexpr Duration kBalancerRemovalTime = milliseconds(2400);
@@ -38,9 +39,9 @@
 
 }  // namespace
 
-FrontDaemon::FrontDaemon(FrontConfig config, std::string path)
+FrontDaemon::FrontDaemon(FrontConfig config, SettingsSource source)
     : config_(std::move(config)),
-      path_(std::move(path)),
+      source_(std::move(source)),
       timers_(context_),
       sink_(STDOUT_FILENO, kLogBufferBytes),
       log_(sink_, config_.vm.value(), config_.log_lines_per_second),
@@ -56,13 +57,12 @@
                   registry_,
                   config_.dispatch,
                   SystemSeed()),
-      discovery_(
-          timers_,
-          store_,
-          codec_,
-          log_,
-          {config_.vm, config_.zone, config_.store_watch_wait, SystemSeed()},
-          DiscoveryCallbacks()),
+      discovery_(timers_,
+                 store_,
+                 codec_,
+                 log_,
+                 {OwnEntry(), config_.store_watch_wait, SystemSeed()},
+                 DiscoveryCallbacks()),
       operations_host_(
           [this](const std::string& path) { return AnswerOperations(path); }),
       caller_server_(context_,
@@ -80,6 +80,8 @@
                       operations_host_,
                       operations_protocol_,
                       kOperationsConnections),
+      peer_server_(context_, timers_, kPeerConnections),
+      peer_client_(context_, timers_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   dispatcher_.SetLeavingHandler([this](const SearcherEntry& entry) {
     discovery_.OnSearcherLeaving(entry);
@@ -105,6 +107,18 @@
               }};
 }
 
+DaemonEntry FrontDaemon::OwnEntry() const {
+  DaemonEntry entry;
+  entry.vm = config_.vm;
+  entry.zone = config_.zone;
+  entry.incarnation = IncarnationId(SystemSeed());
+  if (config_.listen_peers.port != 0)
+    entry.peer_address = config_.listen_peers;
+  if (config_.listen_queries.port != 0)
+    entry.query_address = config_.listen_queries;
+  return entry;
+}
+
 FrontDaemon::~FrontDaemon() {
   SetLogOutput(nullptr);
 }
@@ -118,6 +132,8 @@
     listening = readiness_server_.Listen(config_.listen_readiness);
   if (listening && config_.listen_metrics.port != 0)
     listening = metrics_server_.Listen(config_.listen_metrics);
+  if (listening && config_.listen_peers.port != 0)
+    listening = peer_server_.Listen(config_.listen_peers);
   if (!listening)
     return listening;
   DecisionLine(log_, LogCategory::kDaemon, DecisionPriority::kStateChange,
@@ -151,7 +167,7 @@
   return table ? table->config().limits : default_limits_;
 }
 
-std::shared_ptr<RequestRun> FrontDaemon::Submit(
+std::shared_ptr<PendingRequest> FrontDaemon::Submit(
     ForwardedRequestPtr request,
     RequestRun::AnswerHandler done) {
   if (!draining_ || CanFinish(*request))
@@ -230,7 +246,7 @@
 void FrontDaemon::WatchSettings() {
   std::error_code ec;
   std::filesystem::file_time_type time =
-      std::filesystem::last_write_time(path_, ec);
+      std::filesystem::last_write_time(source_.path, ec);
   bool first = settings_time_ == std::filesystem::file_time_type{};
   if (!ec && time != settings_time_) {
     settings_time_ = time;
@@ -242,7 +258,7 @@
 
 void FrontDaemon::Reload() {
   std::vector<SettingFault> faults;
-  FrontConfig config = LoadFrontConfig(path_, faults);
+  FrontConfig config = LoadFrontConfig(source_, faults);
   DecisionLine line(log_, LogCategory::kDaemon, DecisionPriority::kStateChange,
                     faults.empty() ? "settings_reloaded" : "settings_refused",
                     timers_.Now());
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -14,6 +14,8 @@
 #include "front/operations_host.h"
 #include "ingress/ingress_server.h"
 #include "kernel/asio_timer_service.h"
+#include "peer/peer_client.h"
+#include "peer/peer_server.h"
 #include "platform/http_protocol.h"
 #include "platform/kv_client.h"
 #include "platform/registration_codec.h"
@@ -26,8 +28,8 @@
 // its routing decisions.
 class FrontDaemon : public IngressHost {
  public:
-  // The settings file `path` is reloaded when it changes, and on SIGHUP.
-  FrontDaemon(FrontConfig config, std::string path);
+  // The settings are reloaded when their file changes, and on SIGHUP.
+  FrontDaemon(FrontConfig config, SettingsSource source);
   ~FrontDaemon() override;
 
   Result<void> Start();
@@ -35,8 +37,9 @@
   int Run();
 
   const IngressLimits& limits() const override;
-  std::shared_ptr<RequestRun> Submit(ForwardedRequestPtr request,
-                                     RequestRun::AnswerHandler done) override;
+  std::shared_ptr<PendingRequest> Submit(
+      ForwardedRequestPtr request,
+      RequestRun::AnswerHandler done) override;
   bool ClosesConnections() const override {
     return draining_ || dispatcher_.IsImpaired();
   }
@@ -44,6 +47,7 @@
 
  private:
   DiscoveryClient::Callbacks DiscoveryCallbacks();
+  DaemonEntry OwnEntry() const;
   CallerAnswer AnswerOperations(const std::string& path);
   void WaitForSignal();
   void Reload();
@@ -62,7 +66,7 @@
   FrontState CollectState() const;
 
   FrontConfig config_;
-  std::string path_;
+  SettingsSource source_;
   std::filesystem::file_time_type settings_time_;
   boost::asio::io_context context_;
   AsioTimerService timers_;
@@ -82,6 +86,8 @@
   IngressServer caller_server_;
   IngressServer readiness_server_;
   IngressServer metrics_server_;
+  PeerServer peer_server_;
+  PeerClient peer_client_;
   boost::asio::signal_set signals_;
   IngressLimits default_limits_;
   bool draining_ = false;
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -49,6 +49,18 @@
      .key = "metrics",
      .default_value = SocketAddress{"127.0.0.1", 0},
      .doc = "Address of the metrics. Port 0 disables them."});
+const Setting<SocketAddress> kPeers(
+    {.section = "listen",
+     .key = "peers",
+     .default_value = SocketAddress{"127.0.0.1", 0},
+     .doc = "Address where other entry daemons call this one. Port 0 disables "
+            "what needs such calls."});
+const Setting<SocketAddress> kQueries(
+    {.section = "listen",
+     .key = "queries",
+     .default_value = SocketAddress{"127.0.0.1", 0},
+     .doc = "Address where other entry daemons hand over queries. Port 0 "
+            "disables it."});
 
 const Setting<SocketAddress> kStore(
     {.section = "store",
@@ -155,7 +167,7 @@
        .settings = {&kVmId, &kZone, &kMaxDescriptors, &kMemory},
        .doc = "The VM."},
       {.type = "listen",
-       .settings = {&kCallers, &kReadiness, &kMetrics},
+       .settings = {&kCallers, &kReadiness, &kMetrics, &kPeers, &kQueries},
        .doc = "Addresses of this process."},
       {.type = "store",
        .settings = {&kStore, &kStoreCallTimeout, &kStoreSilence},
@@ -182,6 +194,8 @@
   config.listen_callers = settings.Get(kCallers);
   config.listen_readiness = settings.Get(kReadiness);
   config.listen_metrics = settings.Get(kMetrics);
+  config.listen_peers = settings.Get(kPeers);
+  config.listen_queries = settings.Get(kQueries);
   config.store = settings.Get(kStore);
   config.store_call_timeout = settings.Get(kStoreCallTimeout);
   config.store_watch_wait = std::max(
@@ -205,15 +219,16 @@
   return config;
 }
 
-FrontConfig LoadFrontConfig(const std::string& path,
+FrontConfig LoadFrontConfig(const SettingsSource& source,
                             std::vector<SettingFault>& faults) {
-  std::ifstream stream(path);
+  std::ifstream stream(source.path);
   std::string text((std::istreambuf_iterator<char>(stream)),
                    std::istreambuf_iterator<char>());
   if (!stream)
-    faults.push_back(SettingFault{path, 0, "", "", "can't be read"});
-  IniFile file = IniFile::Parse(path, text, faults);
-  return MakeFrontConfig(Settings::Load(FrontSchema(), file, {}, faults));
+    faults.push_back(SettingFault{source.path, 0, "", "", "can't be read"});
+  IniFile file = IniFile::Parse(source.path, text, faults);
+  return MakeFrontConfig(
+      Settings::Load(FrontSchema(), file, source.overrides, faults));
 }
 
 }  // namespace jujubecove
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "dispatch/dispatch_options.h"
 #include "settings/settings.h"
@@ -16,6 +17,10 @@
   SocketAddress listen_readiness;
   // Port 0 disables the metrics.
   SocketAddress listen_metrics;
+  // Where other entry daemons call this one. Port 0 disables what needs it.
+  SocketAddress listen_peers;
+  // Where other entry daemons hand over queries. Port 0 disables it.
+  SocketAddress listen_queries;
   SocketAddress store;
   Duration store_call_timeout{};
   Duration store_watch_wait{};
@@ -32,8 +37,18 @@
 const SettingsSchema& FrontSchema();
 FrontConfig MakeFrontConfig(const Settings& settings);
 
-// Reads the settings file and appends every fault with its line.
-FrontConfig LoadFrontConfig(const std::string& path,
+// Where settings come from: a file, and overrides of the command line
+// ("section.key=value").
+struct SettingsSource {
+  SettingsSource(std::string file, std::vector<std::string> values = {})
+      : path(std::move(file)), overrides(std::move(values)) {}
+
+  std::string path;
+  std::vector<std::string> overrides;
+};
+
+// Reads the settings and appends every fault with its line.
+FrontConfig LoadFrontConfig(const SettingsSource& source,
                             std::vector<SettingFault>& faults);
 
 }  // namespace jujubecove
--- a/src/front/operations_host.cc
+++ b/src/front/operations_host.cc
@@ -24,7 +24,7 @@
   return out;
 }
 
-std::shared_ptr<RequestRun> OperationsHost::Submit(
+std::shared_ptr<PendingRequest> OperationsHost::Submit(
     ForwardedRequestPtr request,
     RequestRun::AnswerHandler done) {
   done(responder_(request->target.substr(0, request->target.find('?'))));
--- a/src/front/operations_host.h
+++ b/src/front/operations_host.h
@@ -27,8 +27,9 @@
       : responder_(std::move(responder)) {}
 
   const IngressLimits& limits() const override { return limits_; }
-  std::shared_ptr<RequestRun> Submit(ForwardedRequestPtr request,
-                                     RequestRun::AnswerHandler done) override;
+  std::shared_ptr<PendingRequest> Submit(
+      ForwardedRequestPtr request,
+      RequestRun::AnswerHandler done) override;
   bool ClosesConnections() const override { return false; }
   void OnRequestRejected(ErrorKind, const std::string&) override {}
 
--- a/src/front/run_front.cc
+++ b/src/front/run_front.cc
@@ -13,9 +13,9 @@
 
 }  // namespace
 
-int RunFront(const std::string& path, bool check_only) {
+int RunFront(const SettingsSource& source, bool check_only) {
   std::vector<SettingFault> faults;
-  FrontConfig config = LoadFrontConfig(path, faults);
+  FrontConfig config = LoadFrontConfig(source, faults);
   for (const SettingFault& it : faults)
     std::cerr << it.ToString() << "\n";
   if (!faults.empty())
@@ -26,7 +26,7 @@
   }
   // Writing to a connection that the peer has closed then returns an error.
   std::signal(SIGPIPE, SIG_IGN);
-  FrontDaemon daemon(config, path);
+  FrontDaemon daemon(config, source);
   Result<void> started = daemon.Start();
   if (!started) {
     std::cerr << "jujubecove-front: " << started.error().detail << "\n";
--- a/src/front/run_front.h
+++ b/src/front/run_front.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <string>
+#include "front/front_settings.h"
 
 namespace jujubecove {
 
-// Runs the entry daemon with the settings file at `path`, or only validates the
-// file. Returns the exit code.
-int RunFront(const std::string& path, bool check_only);
+// Runs the entry daemon, or only validates its settings. Returns the exit code.
+int RunFront(const SettingsSource& source, bool check_only);
 
 }  // namespace jujubecove
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -34,6 +34,8 @@
             const std::string& body,
             Duration timeout,
             Done done);
+  // Whether no call is in progress.
+  bool IsUnused() const { return calls_.empty(); }
 
  private:
   struct PendingCall {
--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -300,12 +300,12 @@
 
 void IngressConnection::RefuseIfNotRun() {
   // The answer releases run_.
-  if (std::shared_ptr<RequestRun> run = run_)
+  if (std::shared_ptr<PendingRequest> run = run_)
     run->RefuseIfNotRun();
 }
 
 void IngressConnection::EndNow() {
-  if (std::shared_ptr<RequestRun> run = run_)
+  if (std::shared_ptr<PendingRequest> run = run_)
     run->EndNow();
   else if (state_ == State::kReading && parser_)
     Reject(ErrorKind::kShuttingDown, kStoppingReason);
--- a/src/ingress/ingress_connection.h
+++ b/src/ingress/ingress_connection.h
@@ -95,7 +95,7 @@
   TimePoint last_progress_{};
   std::string request_id_;
   bool head_only_ = false;
-  std::shared_ptr<RequestRun> run_;
+  std::shared_ptr<PendingRequest> run_;
   std::string head_out_;
   std::string body_out_;
 };
--- a/src/ingress/ingress_host.h
+++ b/src/ingress/ingress_host.h
@@ -14,9 +14,10 @@
   virtual ~IngressHost() = default;
 
   virtual const IngressLimits& limits() const = 0;
-  // Calls `done` once, unless the run is abandoned. Returns null if `done` has
-  // already been called.
-  virtual std::shared_ptr<RequestRun> Submit(
+  // Calls `done` once, unless the returned request is abandoned. Returns null
+  // if `done` has already been called, or if nobody needs to know when the
+  // caller disconnects.
+  virtual std::shared_ptr<PendingRequest> Submit(
       ForwardedRequestPtr request,
       RequestRun::AnswerHandler done) = 0;
   // Whether connections close after their current answer, so that the caller's
--- a/src/platform/http_protocol.cc
+++ b/src/platform/http_protocol.cc
@@ -24,6 +24,8 @@
 // Longer values of Retry-After are reduced to it, so that a faulty searcher is
 // not lost for good.
 constexpr double kMaxRetryAfterSeconds = 600.0;
+// The fourth figure of a load is a percentage.
+constexpr double kUsualSpeed = 100.0;
 // Larger figures are not a load.
 constexpr std::int64_t kMaxReportedLoad = 1'000'000;
 
@@ -78,6 +80,10 @@
     text.remove_prefix(comma == std::string_view::npos ? text.size()
                                                        : comma + 1);
   }
+  std::optional<std::int64_t> percent =
+      ParseClamped(Trim(text.substr(0, text.find(','))), 0, kMaxReportedLoad);
+  if (percent && *percent > 0)
+    load.slowdown = static_cast<double>(*percent) / kUsualSpeed;
   return load;
 }
 
--- a/src/platform/registration_codec.cc
+++ b/src/platform/registration_codec.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <utility>
 
 #include "platform/json_codec.h"
@@ -26,6 +27,7 @@
 // Larger integers are not exact in all encoders of JSON.
 constexpr std::int64_t kMaxExactInteger = 1LL << 53U;
 constexpr double kMaxWeight = 1e9;
+constexpr double kMaxRate = 1e9;
 
 const json::array* ArrayField(const json::object& object,
                               std::string_view name) {
@@ -33,6 +35,11 @@
   return value != nullptr && value->is_array() ? &value->get_array() : nullptr;
 }
 
+bool BoolField(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  return value != nullptr && value->is_bool() && value->get_bool();
+}
+
 Duration DurationField(FieldReader& reader,
                        std::string_view name,
                        Duration fallback) {
@@ -97,6 +104,49 @@
   return split;
 }
 
+std::vector<std::string> DecodeTexts(const json::object& object,
+                                     std::string_view name,
+                                     FieldReader& reader) {
+  std::vector<std::string> texts;
+  const json::value* value = object.if_contains(name);
+  if (value == nullptr || value->is_null())
+    return texts;
+  if (!value->is_array()) {
+    reader.Fail(name);
+    return texts;
+  }
+  for (const json::value& it : value->get_array()) {
+    if (!it.is_string() || it.get_string().size() > kMaxNameBytes) {
+      reader.Fail(name);
+      continue;
+    }
+    texts.emplace_back(it.get_string());
+  }
+  return texts;
+}
+
+std::vector<RegionName> DecodeRegions(const json::object& object,
+                                      FieldReader& reader) {
+  std::vector<RegionName> regions;
+  for (std::string& it : DecodeTexts(object, "AllowedRegions", reader))
+    regions.emplace_back(std::move(it));
+  return regions;
+}
+
+Workspace DecodeWorkspace(const json::object& object, FieldReader& reader) {
+  Workspace workspace;
+  workspace.name = WorkspaceName(reader.Text("Name", kMaxNameBytes));
+  workspace.api_keys = DecodeTexts(object, "ApiKeys", reader);
+  const json::value* urgency = object.if_contains("Priority");
+  if (urgency != nullptr && !urgency->is_null())
+    workspace.urgency = CountField(reader, "Priority", 0);
+  workspace.rate_per_second =
+      reader.OptionalNumber("RatePerS", {0.0, kMaxRate}, 0.0);
+  workspace.burst = reader.OptionalNumber("Burst", {0.0, kMaxRate}, 0.0);
+  workspace.allowed_regions = DecodeRegions(object, reader);
+  return workspace;
+}
+
 Route DecodeRoute(const json::object& object, FieldReader& reader) {
   Route route;
   route.host = reader.Text("Host", kMaxNameBytes);
@@ -116,6 +166,8 @@
   route.urgency = CountField(reader, "Priority", 0);
   route.max_attempts = CountField(reader, "MaxAttempts", 1);
   route.split = DecodeSplit(object, reader);
+  route.anonymous = BoolField(object, "Anonymous");
+  route.allowed_regions = DecodeRegions(object, reader);
   if (!route.scatter && route.split.empty())
     reader.Fail("Service");
   return route;
@@ -125,6 +177,8 @@
   ServiceConfig service;
   service.name = ServiceName(reader.OptionalText("Name", kMaxNameBytes, ""));
   service.max_connections = CountField(reader, "MaxConnections", 1);
+  service.warmup_rate =
+      reader.OptionalNumber("WarmupPerS", {0.0, kMaxRate}, 0.0);
   return service;
 }
 
@@ -141,6 +195,27 @@
   return limits;
 }
 
+// Zero if the text is not a decimal number of 64 bits.
+std::uint64_t ParseIncarnation(const std::string& text) {
+  std::uint64_t value = 0;
+  const char* last = text.data() + text.size();
+  auto [end, error] = std::from_chars(text.data(), last, value);
+  return error == std::errc{} && end == last ? value : 0;
+}
+
+std::optional<SocketAddress> OptionalAddress(FieldReader& reader,
+                                             std::string_view name) {
+  std::string text = reader.OptionalText(name, kMaxNameBytes, "");
+  if (text.empty())
+    return std::nullopt;
+  std::optional<SocketAddress> address = SocketAddress::Parse(text);
+  if (!address || address->port == 0) {
+    reader.Fail(name);
+    return std::nullopt;
+  }
+  return address;
+}
+
 }  // namespace
 
 PlatformRegistrationCodec::PlatformRegistrationCodec()
@@ -180,6 +255,20 @@
         return BadRequest("a service is malformed: " + fields.error());
     }
   }
+  const json::value* workspaces = object->if_contains("Tenants");
+  config.requires_api_key = workspaces != nullptr && !workspaces->is_null();
+  if (config.requires_api_key && !workspaces->is_array())
+    return BadRequest("the list of workspaces is malformed");
+  if (config.requires_api_key) {
+    for (const json::value& it : workspaces->get_array()) {
+      if (!it.is_object())
+        return BadRequest("a workspace is not a JSON object");
+      FieldReader fields(it.get_object());
+      config.workspaces.push_back(DecodeWorkspace(it.get_object(), fields));
+      if (!fields.error().empty())
+        return BadRequest("a workspace is malformed: " + fields.error());
+    }
+  }
   const json::value* limits = object->if_contains("Limits");
   if (limits != nullptr && limits->is_object()) {
     FieldReader fields(limits->get_object());
@@ -226,10 +315,35 @@
 }
 
 std::string PlatformRegistrationCodec::EncodeDaemon(
+    const DaemonEntry& entry) const {
+  json::object object{{"NodeName", entry.vm.value()},
+                      {"Zone", entry.zone.value()}};
+  if (entry.incarnation.value() != 0)
+    object["Incarnation"] = std::to_string(entry.incarnation.value());
+  if (entry.peer_address)
+    object["PeerAddress"] = entry.peer_address->ToString();
+  if (entry.query_address)
+    object["QueryAddress"] = entry.query_address->ToString();
+  return json::serialize(object);
+}
+
+Result<DaemonEntry> PlatformRegistrationCodec::DecodeDaemon(
     const VmId& vm,
-    const ZoneName& zone) const {
-  return json::serialize(
-      json::object{{"NodeName", vm.value()}, {"Zone", zone.value()}});
+    const std::string& value) const {
+  std::optional<json::object> object = ParseObject(value);
+  if (!object)
+    return BadRequest("the registration is not a JSON object");
+  FieldReader reader(*object);
+  DaemonEntry entry;
+  entry.vm = vm;
+  entry.zone = ZoneName(reader.Text("Zone", kMaxNameBytes));
+  entry.incarnation = IncarnationId(
+      ParseIncarnation(reader.OptionalText("Incarnation", 20, "")));
+  entry.peer_address = OptionalAddress(reader, "PeerAddress");
+  entry.query_address = OptionalAddress(reader, "QueryAddress");
+  if (!reader.error().empty())
+    return BadRequest(reader.error());
+  return entry;
 }
 
 }  // namespace jujubecove::platform
--- a/src/platform/registration_codec.h
+++ b/src/platform/registration_codec.h
@@ -19,7 +19,9 @@
   Result<ServingConfig> DecodeConfig(const std::string& value) const override;
   Result<SearcherEntry> DecodeSearcher(const InstanceId& id,
                                        const std::string& value) const override;
-  std::string EncodeDaemon(const VmId& vm, const ZoneName& zone) const override;
+  std::string EncodeDaemon(const DaemonEntry& entry) const override;
+  Result<DaemonEntry> DecodeDaemon(const VmId& vm,
+                                   const std::string& value) const override;
 
  private:
   std::string config_key_;
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -49,6 +49,25 @@
   // Empty when `scatter` is set.
   std::vector<WeightedService> split;
   std::optional<ScatterSpec> scatter;
+  // Whether requests need no API key.
+  bool anonymous = false;
+  // Regions in which requests may be handled. Empty means all.
+  std::vector<RegionName> allowed_regions;
+};
+
+// A workspace of the operators' configuration, to which requests belong by
+// their API key.
+struct Workspace {
+  WorkspaceName name;
+  std::vector<std::string> api_keys;
+  // Takes precedence over the urgency of the route.
+  std::optional<int> urgency;
+  // Rate limit of the workspace over all entry daemons together: requests per
+  // second, and requests beyond them at once. A rate of 0 means no limit.
+  double rate_per_second = 0.0;
+  double burst = 0.0;
+  // Regions in which its requests may be handled. Empty means all.
+  std::vector<RegionName> allowed_regions;
 };
 
 // Configuration of one service.
@@ -56,6 +75,9 @@
   ServiceName name;
   // Connections that one searcher accepts from all clients together.
   int max_connections = 1;
+  // Requests per second that a searcher bears during its warm-up. 0 means no
+  // limit.
+  double warmup_rate = 0.0;
 };
 
 // Limits on the size and duration of callers' requests.
@@ -72,6 +94,10 @@
   std::vector<Route> routes;
   std::vector<ServiceConfig> services;
   IngressLimits limits;
+  // Whether requests need the API key of a workspace, unless their route is
+  // anonymous.
+  bool requires_api_key = false;
+  std::vector<Workspace> workspaces;
 };
 
 }  // namespace jujubecove
--- a/src/route/route_table.cc
+++ b/src/route/route_table.cc
@@ -22,6 +22,11 @@
     routes_[NormalizedHost(route.host)].emplace(route.prefix, &route);
   for (const ServiceConfig& service : config_.services)
     services_.emplace(service.name, &service);
+  for (const Workspace& workspace : config_.workspaces) {
+    workspaces_.emplace(workspace.name, &workspace);
+    for (const std::string& it : workspace.api_keys)
+      workspaces_by_key_.emplace(it, &workspace);
+  }
 }
 
 const Route* RouteTable::Find(std::string_view host,
@@ -48,4 +53,15 @@
   return it == services_.end() ? nullptr : it->second;
 }
 
+const Workspace* RouteTable::FindWorkspace(const WorkspaceName& name) const {
+  auto it = workspaces_.find(name);
+  return it == workspaces_.end() ? nullptr : it->second;
+}
+
+const Workspace* RouteTable::FindWorkspaceByKey(
+    const std::string& api_key) const {
+  auto it = workspaces_by_key_.find(api_key);
+  return it == workspaces_by_key_.end() ? nullptr : it->second;
+}
+
 }  // namespace jujubecove
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -22,6 +22,9 @@
   // null. A port in `host` and a query in `target` are ignored.
   const Route* Find(std::string_view host, std::string_view target) const;
   const ServiceConfig* FindService(const ServiceName& name) const;
+  // Null if there is none.
+  const Workspace* FindWorkspace(const WorkspaceName& name) const;
+  const Workspace* FindWorkspaceByKey(const std::string& api_key) const;
 
  private:
   ServingConfig config_;
@@ -29,6 +32,8 @@
   std::unordered_map<std::string, std::unordered_map<std::string, const Route*>>
       routes_;
   std::unordered_map<ServiceName, const ServiceConfig*> services_;
+  std::unordered_map<WorkspaceName, const Workspace*> workspaces_;
+  std::unordered_map<std::string, const Workspace*> workspaces_by_key_;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- /dev/null
+++ b/src/settings/overrides.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace jujubecove {
+
+// Removes each "--set VALUE" and "--set=VALUE" from the arguments and returns
+// the values, each split at commas. gflags would keep only the last one.
+std::vector<std::string> TakeOverrides(std::vector<std::string>& arguments);
+
+}  // namespace jujubecove
--- a/tests/unit/daemon/daemon_settings_test.cc
+++ b/tests/unit/daemon/daemon_settings_test.cc
@@ -3,7 +3,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include "daemon/command_line.h"
+#include "settings/overrides.h"
 
 namespace jujubecove {
 namespace {
--- a/tests/unit/discovery/discovery_client_test.cc
+++ b/tests/unit/discovery/discovery_client_test.cc
@@ -32,7 +32,7 @@
             store_,
             codec_,
             log_,
-            {VmId("own"), ZoneName("zone"), milliseconds(2500), 1},
+            {{VmId("own"), ZoneName("zone")}, milliseconds(2500), 1},
             {.table_changed = [](const RouteTablePtr&) {},
              .searcher_changed =
                  [this](SearcherChange change, const SearcherEntry& entry) {
--- a/tests/unit/discovery/fleet_membership_test.cc
+++ b/tests/unit/discovery/fleet_membership_test.cc
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr char kRegistration[] = R"({"NodeName": "n", "Zone": "zone"})";
+
 class FleetMembershipTest : public testing::Test {
  protected:
   FleetMembershipTest()
@@ -19,14 +21,13 @@
         fleet_(timers_,
                store_,
                codec_,
-               VmId("own"),
-               ZoneName("zone"),
+               DaemonEntry{VmId("own"), ZoneName("zone")},
                [this](int size) { size_ = size; }) {}
 
   void Join() {
     fleet_.Join();
     timers_.AdvanceBy(milliseconds(100));
-    fleet_.OnDaemonRegistration("own", true);
+    fleet_.OnDaemonRegistration("own", kRegistration);
   }
 
   FakeTimerService timers_;
@@ -40,9 +41,9 @@
 // down: hayabusa's scale-1 had 553 extra attempts where 549 were allowed.
 TEST_F(FleetMembershipTest, CountsDaemonForSomeTimeAfterItLeft) {
   Join();
-  fleet_.OnDaemonRegistration("other", true);
+  fleet_.OnDaemonRegistration("other", kRegistration);
   EXPECT_EQ(size_, 2);
-  fleet_.OnDaemonRegistration("other", false);
+  fleet_.OnDaemonRegistration("other", std::nullopt);
   timers_.AdvanceBy(seconds(17));
   EXPECT_EQ(size_, 2);
   timers_.AdvanceBy(seconds(2));
@@ -51,10 +52,10 @@
 
 TEST_F(FleetMembershipTest, CountsDaemonOnceAfterItReturned) {
   Join();
-  fleet_.OnDaemonRegistration("other", true);
-  fleet_.OnDaemonRegistration("other", false);
+  fleet_.OnDaemonRegistration("other", kRegistration);
+  fleet_.OnDaemonRegistration("other", std::nullopt);
   timers_.AdvanceBy(seconds(5));
-  fleet_.OnDaemonRegistration("other", true);
+  fleet_.OnDaemonRegistration("other", kRegistration);
   timers_.AdvanceBy(seconds(30));
   EXPECT_EQ(size_, 2);
 }
@@ -64,7 +65,7 @@
   Join();
   ASSERT_TRUE(store_.Has("fronts/own"));
   store_.Remove("fronts/own");
-  fleet_.OnDaemonRegistration("own", false);
+  fleet_.OnDaemonRegistration("own", std::nullopt);
   timers_.AdvanceBy(seconds(1));
   EXPECT_TRUE(store_.Has("fronts/own"));
 }
--- a/tests/unit/ingress/ingress_server_test.cc
+++ b/tests/unit/ingress/ingress_server_test.cc
@@ -22,8 +22,9 @@
 class RecordingHost : public IngressHost {
  public:
   const IngressLimits& limits() const override { return limits_; }
-  std::shared_ptr<RequestRun> Submit(ForwardedRequestPtr request,
-                                     RequestRun::AnswerHandler done) override {
+  std::shared_ptr<PendingRequest> Submit(
+      ForwardedRequestPtr request,
+      RequestRun::AnswerHandler done) override {
     requests_.push_back(std::move(request));
     if (answer_immediately_) {
       CallerAnswer answer;
--- a/tests/unit/ingress/pipelining_test.cc
+++ b/tests/unit/ingress/pipelining_test.cc
@@ -47,8 +47,9 @@
 class PipeliningHost : public IngressHost {
  public:
   const IngressLimits& limits() const override { return limits_; }
-  std::shared_ptr<RequestRun> Submit(ForwardedRequestPtr request,
-                                     RequestRun::AnswerHandler done) override {
+  std::shared_ptr<PendingRequest> Submit(
+      ForwardedRequestPtr request,
+      RequestRun::AnswerHandler done) override {
     requests_.push_back(std::move(request));
     done_ = std::move(done);
     return nullptr;
--- a/tests/unit/platform/registration_codec_test.cc
+++ b/tests/unit/platform/registration_codec_test.cc
@@ -41,6 +41,44 @@
   EXPECT_EQ(config.value().limits.idle_timeout, Duration(milliseconds(5000)));
 }
 
+TEST(RegistrationCodecTest, DecodesWorkspaces) {
+  PlatformRegistrationCodec codec;
+  Result<ServingConfig> config = codec.DecodeConfig(R"({"Version": 1,
+    "Routes": [{"Host": "h", "Prefix": "/", "Service": "a", "Anonymous": true,
+                "AllowedRegions": ["r"]}],
+    "Services": [{"Name": "a", "WarmupPerS": 2.5}],
+    "Tenants": [{"Name": "w", "ApiKeys": ["k1", "k2"], "Priority": 1,
+                 "RatePerS": 40, "Burst": 20.5},
+                {"Name": "open", "ApiKeys": []}]})");
+  ASSERT_TRUE(config);
+  EXPECT_TRUE(config.value().routes[0].anonymous);
+  EXPECT_EQ(config.value().routes[0].allowed_regions[0], RegionName("r"));
+  EXPECT_EQ(config.value().services[0].warmup_rate, 2.5);
+  EXPECT_TRUE(config.value().requires_api_key);
+  ASSERT_EQ(config.value().workspaces.size(), 2U);
+  const Workspace& workspace = config.value().workspaces[0];
+  EXPECT_EQ(workspace.api_keys.size(), 2U);
+  EXPECT_EQ(workspace.urgency, 1);
+  EXPECT_EQ(workspace.rate_per_second, 40.0);
+  EXPECT_EQ(workspace.burst, 20.5);
+  EXPECT_FALSE(config.value().workspaces[1].urgency);
+  EXPECT_FALSE(codec.DecodeConfig(kConfig).value().requires_api_key);
+}
+
+TEST(RegistrationCodecTest, DecodesOwnRegistration) {
+  PlatformRegistrationCodec codec;
+  DaemonEntry entry{VmId("vm"), ZoneName("z"), IncarnationId(7),
+                    SocketAddress{"10.0.0.1", 80}, std::nullopt};
+  Result<DaemonEntry> decoded =
+      codec.DecodeDaemon(VmId("vm"), codec.EncodeDaemon(entry));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded.value().zone, ZoneName("z"));
+  EXPECT_EQ(decoded.value().incarnation, IncarnationId(7));
+  EXPECT_EQ(decoded.value().peer_address, entry.peer_address);
+  EXPECT_FALSE(decoded.value().query_address);
+  EXPECT_FALSE(codec.DecodeDaemon(VmId("vm"), "[]"));
+}
+
 // A request on a route of unknown kind must not run twice.
 TEST(RegistrationCodecTest, TreatsUnknownKindAsNonIdempotent) {
   PlatformRegistrationCodec codec;
