Give back connections that went silent under requests that must not repeat

Change: it is kept until one second after the deadline that the searcher was told; the searcher is not blamed if it has replied to later attempts. SingleRunTest.GivesBackConnectionsThatWentSilent covers 1, 2, 4 and 16 silences. dispatch_test passed.

--- a/src/dispatch/attempt_launcher.cc
+++ b/src/dispatch/attempt_launcher.cc
@@ -77,10 +77,24 @@
   timers_.ScheduleAfter(grace, [this, id] { Cancel(id); });
 }
 
-void AttemptLauncher::DetachWithoutCancel(AttemptId id) {
+void AttemptLauncher::DetachUntil(AttemptId id, TimePoint end) {
   auto it = attempts_.find(id);
-  if (it != attempts_.end())
-    it->second.done = nullptr;
+  if (it == attempts_.end())
+    return;
+  it->second.done = nullptr;
+  timers_.ScheduleAt(end, [this, id] { CancelSilent(id); });
+}
+
+void AttemptLauncher::CancelSilent(AttemptId id) {
+  auto it = attempts_.find(id);
+  if (it == attempts_.end())
+    return;
+  Attempt attempt = std::move(it->second);
+  attempts_.erase(it);
+  transport_.Cancel(id);
+  metrics_.CountCancelled();
+  bool is_blamed = !attempt.searcher->health.HasRepliedSince(attempt.sent_at);
+  attempt.searcher->health.OnCancelled(id, is_blamed, timers_.Now());
 }
 
 bool AttemptLauncher::IsOverdue(const Attempt& attempt, TimePoint now) const {
--- a/src/dispatch/attempt_launcher.h
+++ b/src/dispatch/attempt_launcher.h
@@ -36,8 +36,10 @@
   // Drops the reply handler. An unwritten attempt is cancelled at once, a
   // written one after `grace`: if it ends before, its connection is kept.
   void Detach(AttemptId attempt, Duration grace);
-  // Drops the reply handler and lets the attempt run to its end.
-  void DetachWithoutCancel(AttemptId attempt);
+  // Drops the reply handler and lets the attempt run, at the latest until
+  // `end`. From then on the searcher does not work on it any more, so without a
+  // reply the connection has gone silent.
+  void DetachUntil(AttemptId attempt, TimePoint end);
   // Called when a searcher says in a reply that it is leaving, before the reply
   // is handled.
   void SetLeavingHandler(LeavingHandler handler) {
@@ -64,6 +66,9 @@
   void OnRequestsUnwanted(const PooledSearcher& searcher,
                           const AttemptReply& reply);
   void Cancel(AttemptId id);
+  // Cancels an attempt on a connection that has gone silent. The searcher is
+  // not blamed if it has replied to others in the meantime.
+  void CancelSilent(AttemptId id);
   void UpdateReachability(const Attempt& attempt,
                           const AttemptReply& reply,
                           TimePoint now);
--- a/src/dispatch/searcher_health.cc
+++ b/src/dispatch/searcher_health.cc
@@ -49,6 +49,8 @@
   if (it == in_flight_.end())
     return;
   Duration latency = now - it->second;
+  if (reply.status != 0)
+    last_replied_sent_at_ = std::max(last_replied_sent_at_, it->second);
   in_flight_.erase(it);
   if (reply.load) {
     reported_ = reply.load;
--- a/src/dispatch/searcher_health.h
+++ b/src/dispatch/searcher_health.h
@@ -48,6 +48,11 @@
   // Moving average of the share of attempts that were refused or failed.
   double failure_rate() const { return failure_rate_; }
 
+  // Whether a reply was received to an attempt that was sent after `time`.
+  bool HasRepliedSince(TimePoint time) const {
+    return last_replied_sent_at_ > time;
+  }
+
   int in_flight() const { return static_cast<int>(in_flight_.size()); }
   int slots() const { return slots_; }
   void set_slots(int slots) { slots_ = slots; }
@@ -60,6 +65,8 @@
   int slots_;
   TimePoint warmup_end_;
   std::map<AttemptId, TimePoint> in_flight_;
+  // When the latest attempt that got a reply was sent.
+  TimePoint last_replied_sent_at_{};
   // Moving average of the latency relative to the route's average.
   double latency_ratio_ = 1.0;
   // The same without the wait for a connection, and its mean deviation.
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -10,6 +10,9 @@
 // hedged.
 constexpr double kHedgeQuantile = 0.95;
 constexpr Duration kHedgeRetryInterval = std::chrono::milliseconds(20);
+// Searchers stop working at the deadline. A reply that is later by this much
+// will not come, and the connection is given back.
+constexpr Duration kSilenceAllowance = std::chrono::seconds(1);
 
 // Statuses that tell a caller that its request has not run.
 bool ImpliesNotRun(int status) {
@@ -176,14 +179,14 @@
     line.Add("searcher", tried_.back()->entry.id.value());
 }
 
-// A written non-idempotent attempt is not cancelled: its caller could not know
-// whether it ran, and its work would be lost.
+// A written non-idempotent attempt is not cancelled while the searcher may work
+// on it: its caller could not know whether it ran, and its work would be lost.
 void SingleRun::DetachAll(Duration grace) {
   for (const LaunchedAttempt& it : in_flight_) {
     if (route().idempotent || !context().launcher.IsWritten(it.id))
       context().launcher.Detach(it.id, grace);
     else
-      context().launcher.DetachWithoutCancel(it.id);
+      context().launcher.DetachUntil(it.id, deadline() + kSilenceAllowance);
   }
   in_flight_.clear();
 }
--- a/tests/unit/dispatch/searcher_health_test.cc
+++ b/tests/unit/dispatch/searcher_health_test.cc
@@ -44,6 +44,21 @@
   EXPECT_TRUE(health.IsSuspect(now + milliseconds(700)));
 }
 
+// Guards against avoiding a searcher of which one connection went silent while
+// the others work.
+TEST(SearcherHealthTest, RemembersRepliesToLaterAttempts) {
+  TimePoint now(seconds(10));
+  SearcherHealth health(2, TimePoint{});
+  health.OnSent(AttemptId(1), now);
+  health.OnSent(AttemptId(2), now + milliseconds(10));
+  EXPECT_FALSE(health.HasRepliedSince(now));
+  AttemptReply reply = Reply(AttemptResult::kSuccess);
+  reply.status = 200;
+  health.OnReply(AttemptId(2), reply, kTypical, now + milliseconds(20));
+  EXPECT_TRUE(health.HasRepliedSince(now));
+  EXPECT_FALSE(health.HasRepliedSince(now + milliseconds(10)));
+}
+
 // Guards against counting attempts that were cancelled early as failures.
 TEST(SearcherHealthTest, IsNotSuspectAfterEarlyCancel) {
   TimePoint now(seconds(10));
--- a/tests/unit/dispatch/single_run_test.cc
+++ b/tests/unit/dispatch/single_run_test.cc
@@ -118,6 +118,21 @@
   EXPECT_EQ(transport_.cancelled(), 0);
 }
 
+// Guards against a service that loses a connection for good with each
+// connection that goes silent under a request that must not run twice.
+TEST_F(SingleRunTest, GivesBackConnectionsThatWentSilent) {
+  Configure(1, 1.0);
+  AddSearchers("single", 1);
+  for (int silences : {1, 2, 4, 16}) {
+    for (int n = 0; n < silences; ++n)
+      Submit("/once/1");
+    Advance(900);
+    EXPECT_EQ(transport_.pending().size(), static_cast<std::size_t>(silences));
+    Advance(1000);
+    EXPECT_TRUE(transport_.pending().empty()) << silences;
+  }
+}
+
 // Guards against reporting a request as not run that a searcher may be running.
 TEST_F(SingleRunTest, ReportsDeadlineExceededWhenRequestWasWritten) {
   Configure(1, 1.0);
