--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -106,6 +106,14 @@
     List();
     return;
   }
+  // The changes since the last revision do not fit into one answer, but a
+  // listing is read in pages.
+  if (page.status == KvStatus::kTooLarge) {
+    ++calls_.too_large;
+    OnSuccess();
+    List();
+    return;
+  }
   if (page.status != KvStatus::kOk) {
     OnFailure(page, &StoreWatcher::Watch);
     return;
--- a/src/discovery/store_watcher.h
+++ b/src/discovery/store_watcher.h
@@ -31,6 +31,7 @@
   std::uint64_t refused = 0;
   std::uint64_t unanswered = 0;
   std::uint64_t compacted = 0;
+  std::uint64_t too_large = 0;
 };
 
 // Lists all keys with a prefix once and then watches for changes since the
--- a/src/front/front_metrics.cc
+++ b/src/front/front_metrics.cc
@@ -47,7 +47,8 @@
       store_served_(StoreCalls(registry, "served")),
       store_refused_(StoreCalls(registry, "refused")),
       store_unanswered_(StoreCalls(registry, "unanswered")),
-      store_compacted_(StoreCalls(registry, "compacted")) {}
+      store_compacted_(StoreCalls(registry, "compacted")),
+      store_too_large_(StoreCalls(registry, "too_large")) {}
 
 void FrontMetrics::Update(const FrontState& state, TimePoint now) {
   auto set = [](Gauge& gauge, auto value) {
@@ -70,6 +71,7 @@
   set(store_refused_, state.store_calls.refused);
   set(store_unanswered_, state.store_calls.unanswered);
   set(store_compacted_, state.store_calls.compacted);
+  set(store_too_large_, state.store_calls.too_large);
 }
 
 }  // namespace jujubecove
--- a/src/front/front_metrics.h
+++ b/src/front/front_metrics.h
@@ -46,6 +46,7 @@
   Gauge& store_refused_;
   Gauge& store_unanswered_;
   Gauge& store_compacted_;
+  Gauge& store_too_large_;
 };
 
 }  // namespace jujubecove
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -145,10 +145,13 @@
   bool too_long =
       exchange_bytes_ > kExchangeBytesPerBodyByte * max_reply_bytes_ ||
       buffer_.size() > kMaxReplyHeaderBytes;
-  if (too_long || interim_replies_ > kMaxInterimReplies ||
+  if (too_long) {
+    FailTooLarge("the reply is too long");
+    return false;
+  }
+  if (interim_replies_ > kMaxInterimReplies ||
       skipped_replies_ > kMaxSkippedReplies) {
-    FailExchange(too_long ? "the reply is too long"
-                          : "too many replies for one request");
+    FailExchange("too many replies for one request");
     return false;
   }
   if (budget_ != nullptr)
@@ -175,6 +178,10 @@
     buffer_.consume(used);
     if (ec == http::error::need_more)
       return;
+    if (ec == http::error::body_limit) {
+      FailTooLarge(ec.message());
+      return;
+    }
     if (ec) {
       FailExchange("malformed reply: " + ec.message());
       return;
@@ -246,6 +253,10 @@
   Finish({.written = true, .failure = reason}, false);
 }
 
+void ClientConnection::FailTooLarge(const std::string& reason) {
+  Finish({.written = true, .failure = reason, .too_large = true}, false);
+}
+
 void ClientConnection::Finish(HttpExchange exchange, bool keep) {
   parser_.reset();
   std::function<void(HttpExchange)> finished = callbacks_.finished;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -35,6 +35,9 @@
   bool written = false;
   // What went wrong, if there is no reply.
   std::string failure;
+  // Whether there is no reply because it is larger than allowed, so that the
+  // same request would fail again.
+  bool too_large = false;
 };
 
 // What a connection does with a complete reply.
@@ -108,6 +111,7 @@
   void OnReadError(const boost::system::error_code& ec);
   void Finish(HttpExchange exchange, bool keep);
   void FailExchange(const std::string& reason);
+  void FailTooLarge(const std::string& reason);
   void Fail(std::function<void(const std::string&)> handler,
             const std::string& reason);
 
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -66,6 +66,8 @@
   KvPage page;
   page.status = StatusOf(reply);
   page.sent = exchange.written;
+  if (exchange.too_large)
+    page.status = KvStatus::kTooLarge;
   if (page.status != KvStatus::kOk)
     return page;
   std::optional<json::object> object = ParseObject(reply->body);
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -32,6 +32,8 @@
   kCompacted,
   // The store refused the call; nothing was done.
   kRefused,
+  // The answer is larger than this process accepts.
+  kTooLarge,
   // There was no answer. A write may have been applied or may still be applied.
   kUnknown,
 };
--- a/tests/standin/fake_kv_store.cc
+++ b/tests/standin/fake_kv_store.cc
@@ -46,10 +46,15 @@
     page.status = KvStatus::kCompacted;
     return page;
   }
+  std::size_t bytes = 0;
   for (const KvItem& it : history_) {
-    if (it.revision > after && it.key.starts_with(prefix))
-      page.items.push_back(it);
+    if (it.revision <= after || !it.key.starts_with(prefix))
+      continue;
+    page.items.push_back(it);
+    bytes += it.value.size();
   }
+  if (bytes > max_watch_bytes_)
+    return KvPage{.status = KvStatus::kTooLarge};
   return page;
 }
 
--- a/tests/standin/fake_kv_store.h
+++ b/tests/standin/fake_kv_store.h
@@ -48,6 +48,9 @@
   // From now on a watch that has waited for so long without a change ends with
   // kUnknown, as when its connection is closed; zero ends the fault.
   void set_watch_cut_after(Duration time) { watch_cut_after_ = time; }
+  // A watch whose events have more bytes of values than this ends with
+  // kTooLarge.
+  void set_max_watch_bytes(std::size_t size) { max_watch_bytes_ = size; }
   void set_page_size(std::size_t size) { page_size_ = size; }
   // Runs once, before the second page of a listing is read.
   void set_before_second_page(std::function<void()> action) {
@@ -84,6 +87,7 @@
   Duration watch_loss_timeout_{};
   Duration watch_cut_after_{};
   Duration last_watch_wait_{};
+  std::size_t max_watch_bytes_ = std::size_t{8} << 20U;
   std::size_t page_size_ = 500;
   std::function<void()> before_second_page_;
   int calls_ = 0;
--- a/tests/standin/kv_server.cc
+++ b/tests/standin/kv_server.cc
@@ -27,6 +27,7 @@
     case KvStatus::kCompacted:
       return 410;
     case KvStatus::kRefused:
+    case KvStatus::kTooLarge:
     case KvStatus::kUnknown:
       break;
   }
--- a/tests/unit/discovery/store_watcher_test.cc
+++ b/tests/unit/discovery/store_watcher_test.cc
@@ -62,6 +62,23 @@
   EXPECT_FALSE(recorder_.items_.contains("a"));
 }
 
+// Guards against a daemon that keeps an old configuration, because it asks
+// again and again for changes that are larger than one answer may be.
+TEST_F(StoreWatcherTest, ListsWhenChangesAreTooLargeForOneAnswer) {
+  store_.set_max_watch_bytes(1000);
+  store_.Set("config", "1");
+  watcher_.Start();
+  timers_.AdvanceBy(milliseconds(100));
+  // The first change ends the watch; the others come before the next one.
+  for (int n = 0; n < 12; ++n)
+    store_.Set("config", std::string(200, 'x') + std::to_string(n));
+  timers_.AdvanceBy(seconds(1));
+  EXPECT_EQ(recorder_.items_["config"], std::string(200, 'x') + "11");
+  EXPECT_EQ(watcher_.calls().too_large, 1U);
+  EXPECT_EQ(recorder_.disconnects_, 0);
+  EXPECT_EQ(recorder_.listings_, 2);
+}
+
 TEST_F(StoreWatcherTest, AppliesChangesBetweenPagesOfListing) {
   store_.Set("a", "1");
   store_.Set("b", "1");
--- a/tests/unit/platform/kv_client_test.cc
+++ b/tests/unit/platform/kv_client_test.cc
@@ -232,5 +232,15 @@
   EXPECT_EQ(page.items[1].value, "hi");
 }
 
+// Guards against an endless repetition of a call whose answer is always too
+// large.
+TEST_F(KvClientTest, TellsAnswerThatIsTooLarge) {
+  Serve([](const std::string&) {
+    return ScriptedServer::Reaction{
+        Json(200, std::string(std::size_t{9} << 20U, ' '))};
+  });
+  EXPECT_EQ(Range().status, KvStatus::kTooLarge);
+}
+
 }  // namespace
 }  // namespace jujubecove::platform
