--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -13,6 +13,7 @@
 #include "daemon/daemon_settings.h"
 #include "daemon/exit_code.h"
 #include "document/document_parser.h"
+#include "kernel/startup_signals.h"
 #include "settings/ini_file.h"
 #include "settings/overrides.h"
 
@@ -92,6 +93,7 @@
 int Serve(const DaemonConfig& config,
           std::shared_ptr<const Document> document) {
   Daemon daemon(config, kVersion);
+  ReleaseReloadSignal();
   Result<void> started = daemon.Start(
       std::move(document),
       FLAGS_document.empty() ? Daemon::DocumentLoader() : ReloadDocument);
--- a/src/front/main.cc
+++ b/src/front/main.cc
@@ -7,6 +7,7 @@
 
 #include "front/front_settings.h"
 #include "front/run_front.h"
+#include "kernel/startup_signals.h"
 #include "settings/overrides.h"
 
 DEFINE_string(config,
@@ -23,6 +24,8 @@
     "commas; an override without a value is ignored");
 DEFINE_bool(describe, false, "print every setting with its default, and exit");
 
+JUJUBECOVE_HOLD_RELOAD_SIGNAL();
+
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("the entry daemon of jujubecove on the platform");
   gflags::SetVersionString("0.2.0");
--- a/src/front/run_front.cc
+++ b/src/front/run_front.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "front/front_daemon.h"
+#include "kernel/startup_signals.h"
 
 namespace jujubecove {
 namespace {
@@ -27,6 +28,7 @@
   // Writing to a connection that the peer has closed then returns an error.
   std::signal(SIGPIPE, SIG_IGN);
   FrontDaemon daemon(config, source);
+  ReleaseReloadSignal();
   Result<void> started = daemon.Start();
   if (!started) {
     std::cerr << "jujubecove-front: " << started.error().detail << "\n";
