--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -7,14 +7,15 @@
 #include <iterator>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include "daemon/daemon.h"
 #include "daemon/daemon_settings.h"
 #include "daemon/exit_code.h"
 #include "document/document_parser.h"
+#include "kernel/startup_signals.h"
 #include "settings/ini_file.h"
+#include "settings/overrides.h"
 
 DEFINE_string(config, "", "INI file with the settings");
 DEFINE_string(
@@ -92,6 +93,7 @@
 int Serve(const DaemonConfig& config,
           std::shared_ptr<const Document> document) {
   Daemon daemon(config, kVersion);
+  ReleaseReloadSignal();
   Result<void> started = daemon.Start(
       std::move(document),
       FLAGS_document.empty() ? Daemon::DocumentLoader() : ReloadDocument);
@@ -104,29 +106,6 @@
 
 }  // namespace
 
-std::vector<std::string> TakeOverrides(std::vector<std::string>& arguments) {
-  std::vector<std::string> values;
-  std::vector<std::string> rest;
-  for (std::size_t n = 0; n < arguments.size(); ++n) {
-    const std::string& it = arguments[n];
-    bool is_flag = it == "--set" || it == "-set";
-    if (is_flag && n + 1 < arguments.size())
-      values.push_back(arguments[++n]);
-    else if (it.starts_with("--set=") || it.starts_with("-set="))
-      values.push_back(it.substr(it.find('=') + 1));
-    else
-      rest.push_back(it);
-  }
-  arguments = std::move(rest);
-  std::vector<std::string> overrides;
-  for (const std::string& value : values) {
-    std::istringstream stream(value);
-    for (std::string part; std::getline(stream, part, ',');)
-      overrides.push_back(part);
-  }
-  return overrides;
-}
-
 int RunDaemon(int argc, char** argv) {
   std::vector<std::string> arguments(argv, argv + argc);
   std::vector<std::string> overrides = TakeOverrides(arguments);
