--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -8,6 +8,7 @@
 
 constexpr std::array<ErrorAnswer, kErrorKindCount> kAnswers = {{
     {ErrorKind::kBadRequest, "bad_request", 400, Execution::kNotRun},
+    {ErrorKind::kUnauthenticated, "unauthenticated", 401, Execution::kNotRun},
     {ErrorKind::kUnknownKind, "unknown_kind", 404, Execution::kNotRun},
     {ErrorKind::kNotFound, "not_found", 404, Execution::kNotRun},
     {ErrorKind::kMethodNotAllowed, "method_not_allowed", 405,
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -13,6 +13,7 @@
 // docs/OPERATIONS.md.
 enum class ErrorKind : std::uint8_t {
   kBadRequest,
+  kUnauthenticated,
   kUnknownKind,
   kNotFound,
   kMethodNotAllowed,
--- a/src/ctl/platform_commands.cc
+++ b/src/ctl/platform_commands.cc
@@ -128,6 +128,12 @@
   }
   context.out << "version " << table->version() << ", " << daemons
               << " entry daemons\n";
+  for (const std::string& it : table->config().faults)
+    context.out << "fault: " << it << "\n";
+  for (const Workspace& it : table->config().workspaces) {
+    context.out << "workspace " << it.name << ": " << it.api_keys.size()
+                << " API keys\n";
+  }
   for (const Route& it : table->config().routes) {
     context.out << it.host << it.prefix << " ";
     PrintRoute(it, context);
--- a/src/discovery/discovery_client.cc
+++ b/src/discovery/discovery_client.cc
@@ -1,5 +1,6 @@
 #include "discovery/discovery_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jujubecove {
@@ -13,6 +14,7 @@
 // Registrations expire after three missed heartbeats, which takes longer than
 // this, so none expires in a shorter outage.
 constexpr Duration kMaxHarmlessOutage = milliseconds(1500);
+constexpr std::size_t kMaxLoggedFaults = 20;
 
 }  // namespace
 
@@ -87,7 +89,10 @@
       .Add("version", version.value())
       .Add("previous", config_version_.value())
       .Add("revision", item.revision.value())
-      .Add("routes", config.value().routes.size());
+      .Add("routes", config.value().routes.size())
+      .Add("workspaces", config.value().workspaces.size())
+      .Add("faults", config.value().faults.size());
+  LogFaults(config.value());
   config_version_ = version;
   has_table_ = true;
   table_since_ = now;
@@ -95,6 +100,16 @@
       std::make_shared<const RouteTable>(std::move(config.value())));
 }
 
+void DiscoveryClient::LogFaults(const ServingConfig& config) {
+  std::size_t count = std::min(config.faults.size(), kMaxLoggedFaults);
+  for (std::size_t n = 0; n < count; ++n) {
+    DecisionLine(log_, LogCategory::kConfig, DecisionPriority::kStateChange,
+                 "config_fault", timers_.Now())
+        .Add("version", config.version.value())
+        .Add("reason", config.faults[n]);
+  }
+}
+
 void DiscoveryClient::OnSearcher(const KvItem& item) {
   InstanceId id(item.key.substr(codec_.searcher_prefix().size()));
   if (item.removed) {
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -56,6 +56,7 @@
 
  private:
   void OnConfig(const KvItem& item);
+  void LogFaults(const ServingConfig& config);
   void OnSearcher(const KvItem& item);
 
   TimerService& timers_;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -95,6 +95,8 @@
   else
     line.Add("status", answer.status);
   line.Add("deadline_ms", deadline_ - routed_.request->received);
+  if (routed_.request->workspace)
+    line.Add("workspace", routed_.request->workspace->value());
   Describe(line);
   if (!answer.part_proofs.empty()) {
     line.Add("parts", answer.part_proofs.size())
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -51,6 +51,7 @@
                  timers_,
                  searcher_protocol_,
                  config_.max_reply_memory),
+      authenticator_(credential_protocol_, timers_, log_, registry_),
       dispatcher_(timers_,
                   transport_,
                   log_,
@@ -170,6 +171,11 @@
 std::shared_ptr<PendingRequest> FrontDaemon::Submit(
     ForwardedRequestPtr request,
     RequestRun::AnswerHandler done) {
+  if (std::optional<CallerAnswer> refusal =
+          authenticator_.Authenticate(dispatcher_.table(), request)) {
+    done(std::move(*refusal));
+    return nullptr;
+  }
   if (!draining_ || CanFinish(*request))
     return dispatcher_.Submit(std::move(request), std::move(done));
   done(RefusalWhileStopping());
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -8,6 +8,7 @@
 
 #include "discovery/discovery_client.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/request_authenticator.h"
 #include "egress/http_searcher_transport.h"
 #include "front/front_metrics.h"
 #include "front/front_settings.h"
@@ -16,6 +17,7 @@
 #include "kernel/asio_timer_service.h"
 #include "peer/peer_client.h"
 #include "peer/peer_server.h"
+#include "platform/credential_protocol.h"
 #include "platform/http_protocol.h"
 #include "platform/kv_client.h"
 #include "platform/registration_codec.h"
@@ -79,6 +81,8 @@
   MetricsRegistry registry_;
   FrontMetrics metrics_;
   HttpSearcherTransport transport_;
+  platform::PlatformCredentialProtocol credential_protocol_;
+  RequestAuthenticator authenticator_;
   Dispatcher dispatcher_;
   DiscoveryClient discovery_;
   OperationsProtocol operations_protocol_;
--- a/src/platform/http_protocol.cc
+++ b/src/platform/http_protocol.cc
@@ -115,6 +115,8 @@
                   ToMilliseconds(*answer.retry_after) / 1000.0);
     out.headers.push_back({kRetryAfter, buf.data()});
   }
+  if (answer.error == ErrorKind::kUnauthenticated)
+    out.headers.push_back({"WWW-Authenticate", kApiKeyScheme});
   out.body = std::string(NameOf(*answer.error)) + ": " + answer.reason + "\n";
   return out;
 }
@@ -177,6 +179,8 @@
     AddField(head, it.name, it.value);
   AddField(head, kDeadlineMs, std::to_string(remaining / kMillisecond));
   AddField(head, kExpectInstance, instance.value());
+  if (request.workspace)
+    AddField(head, kWorkspace, request.workspace->value());
   bool expects_body = request.method != "GET" && request.method != "HEAD";
   if (request.body || expects_body) {
     AddField(head, "Content-Length",
--- a/src/platform/registration_codec.cc
+++ b/src/platform/registration_codec.cc
@@ -7,6 +7,7 @@
 
 #include "platform/json_codec.h"
 #include "platform/wire_names.h"
+#include "platform/workspace_codec.h"
 
 namespace jujubecove::platform {
 namespace {
@@ -133,20 +134,6 @@
   return regions;
 }
 
-Workspace DecodeWorkspace(const json::object& object, FieldReader& reader) {
-  Workspace workspace;
-  workspace.name = WorkspaceName(reader.Text("Name", kMaxNameBytes));
-  workspace.api_keys = DecodeTexts(object, "ApiKeys", reader);
-  const json::value* urgency = object.if_contains("Priority");
-  if (urgency != nullptr && !urgency->is_null())
-    workspace.urgency = CountField(reader, "Priority", 0);
-  workspace.rate_per_second =
-      reader.OptionalNumber("RatePerS", {0.0, kMaxRate}, 0.0);
-  workspace.burst = reader.OptionalNumber("Burst", {0.0, kMaxRate}, 0.0);
-  workspace.allowed_regions = DecodeRegions(object, reader);
-  return workspace;
-}
-
 Route DecodeRoute(const json::object& object, FieldReader& reader) {
   Route route;
   route.host = reader.Text("Host", kMaxNameBytes);
@@ -259,16 +246,8 @@
   config.requires_api_key = workspaces != nullptr && !workspaces->is_null();
   if (config.requires_api_key && !workspaces->is_array())
     return BadRequest("the list of workspaces is malformed");
-  if (config.requires_api_key) {
-    for (const json::value& it : workspaces->get_array()) {
-      if (!it.is_object())
-        return BadRequest("a workspace is not a JSON object");
-      FieldReader fields(it.get_object());
-      config.workspaces.push_back(DecodeWorkspace(it.get_object(), fields));
-      if (!fields.error().empty())
-        return BadRequest("a workspace is malformed: " + fields.error());
-    }
-  }
+  if (config.requires_api_key)
+    DecodeWorkspaces(workspaces->get_array(), config);
   const json::value* limits = object->if_contains("Limits");
   if (limits != nullptr && limits->is_object()) {
     FieldReader fields(limits->get_object());
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -10,6 +10,11 @@
 inline constexpr char kDeadlineMs[] = "Deadline-Ms";
 // Token by which a searcher proves that it produced the reply.
 inline constexpr char kResponseStamp[] = "Response-Stamp";
+// Carries the API key of a caller, as "Token KEY".
+inline constexpr char kAuthorization[] = "Authorization";
+inline constexpr char kApiKeyScheme[] = "Token";
+// Tells a searcher the workspace of a request. Only the tier sets it.
+inline constexpr char kWorkspace[] = "Tenant";
 inline constexpr char kExpectInstance[] = "Expect-Instance";
 // Load of the searcher, as "running,waiting,slots".
 inline constexpr char kServerLoad[] = "Server-Load";
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -98,6 +98,9 @@
   // anonymous.
   bool requires_api_key = false;
   std::vector<Workspace> workspaces;
+  // Parts of the document that can't be used, each with its reason, while the
+  // rest is in force. Never contains an API key.
+  std::vector<std::string> faults;
 };
 
 }  // namespace jujubecove
--- a/tests/standin/platform_searcher.cc
+++ b/tests/standin/platform_searcher.cc
@@ -68,7 +68,9 @@
       if (state_->observer) {
         state_->observer({state_->id, state_->service, id,
                           std::string(request_.method_string()),
-                          std::string(request_.target()), request_.body()});
+                          std::string(request_.target()), request_.body(),
+                          std::string(request_[platform::kWorkspace]),
+                          std::string(request_[platform::kAuthorization])});
       }
       response_.set(platform::kResponseStamp, state_->id + "." + id);
       response_.body() = RecordsOf(state_->id);
--- a/tests/standin/platform_searcher.h
+++ b/tests/standin/platform_searcher.h
@@ -23,6 +23,9 @@
   std::string method;
   std::string target;
   std::string body;
+  // As the searcher was told; empty if it was not.
+  std::string workspace;
+  std::string authorization;
 };
 
 // A searcher with the platform's HTTP protocol on the loopback address. It
--- a/tests/unit/front/front_daemon_fixture.h
+++ b/tests/unit/front/front_daemon_fixture.h
@@ -118,7 +118,8 @@
   static FrontReply Get(const SocketAddress& address,
                         const std::string& target,
                         const std::string& id = "r1",
-                        int deadline_ms = 1500) {
+                        int deadline_ms = 1500,
+                        const HeaderFields& fields = {}) {
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket(context);
     boost::system::error_code ec;
@@ -130,6 +131,8 @@
     request.set(boost::beast::http::field::host, "h");
     request.set("Request-Id", id);
     request.set("Deadline-Ms", std::to_string(deadline_ms));
+    for (const HeaderField& it : fields)
+      request.insert(it.name, it.value);
     boost::beast::http::write(socket, request, ec);
     boost::beast::flat_buffer buf;
     boost::beast::http::response_parser<boost::beast::http::string_body> parser;
