--- a/src/dispatch/attempt_queue.cc
+++ b/src/dispatch/attempt_queue.cc
@@ -5,8 +5,24 @@
 #include <utility>
 
 namespace jujubecove {
+namespace {
+
+// One of so many attempts is taken whatever its urgency.
+constexpr std::uint32_t kAnyUrgencyInterval = 3;
+
+// Spreads successive choices evenly over `count` attempts. Always the earliest
+// deadline would be the same workspace's if arrivals are periodic.
+std::ptrdiff_t SpreadIndex(std::uint32_t n, std::ptrdiff_t count) {
+  constexpr std::uint32_t kMultiplier = 2'654'435'761U;
+  constexpr unsigned kHighBits = 16;
+  return static_cast<std::ptrdiff_t>((n * kMultiplier) >> kHighBits) % count;
+}
+
+}  // namespace
 
 void AttemptQueue::Push(QueuedAttempt attempt) {
+  has_urgencies_ = (has_urgencies_ && !attempts_.empty()) ||
+                   attempt.attempt_options.urgency != 0;
   auto position = std::upper_bound(
       attempts_.begin(), attempts_.end(),
       attempt.attempt_options.target_write_time,
@@ -22,7 +38,17 @@
                            return it.attempt_options.target_write_time >= now;
                          });
   if (it == attempts_.end())
-    return 0;
+    it = attempts_.begin();
+  if (has_urgencies_ &&
+      ranked_pops_ % kAnyUrgencyInterval == kAnyUrgencyInterval - 1) {
+    it += SpreadIndex(ranked_pops_, std::distance(it, attempts_.end()));
+  } else if (has_urgencies_) {
+    it = std::min_element(it, attempts_.end(),
+                          [](const QueuedAttempt& a, const QueuedAttempt& b) {
+                            return a.attempt_options.urgency <
+                                   b.attempt_options.urgency;
+                          });
+  }
   return static_cast<std::size_t>(std::distance(attempts_.begin(), it));
 }
 
@@ -34,6 +60,8 @@
   auto it = attempts_.begin() + static_cast<std::ptrdiff_t>(NextIndex(now));
   QueuedAttempt attempt = std::move(*it);
   attempts_.erase(it);
+  if (has_urgencies_)
+    ++ranked_pops_;
   return attempt;
 }
 
--- a/src/dispatch/attempt_queue.h
+++ b/src/dispatch/attempt_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <vector>
@@ -17,9 +18,13 @@
   TimePoint queued_at{};
 };
 
-// The attempts that wait for a connection to one searcher, earliest deadline
-// first among those that can still meet their route's target; the others come
-// after them. An attempt expires unsent when its reply would come too late, so
+// The attempts that wait for a connection to one searcher. Those that can still
+// meet their route's target go before the others. Within both, the most urgent
+// ones go first, and among equally urgent ones the earliest deadline. Answers
+// the load of requests of several urgencies for more than a searcher can serve.
+// Every third attempt is taken whatever its urgency, so that less urgent ones
+// keep about a third of the share that they would have without urgencies. An
+// attempt expires unsent when its reply would come too late, so
 // that it takes no slot of the searcher.
 class AttemptQueue {
  public:
@@ -44,6 +49,10 @@
 
   // Ordered by AttemptOptions::target_write_time, then by arrival.
   std::deque<QueuedAttempt> attempts_;
+  // Whether an attempt that is less urgent than others may be queued.
+  bool has_urgencies_ = false;
+  // Attempts taken while that was so.
+  std::uint32_t ranked_pops_ = 0;
 };
 
 }  // namespace jujubecove
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -264,8 +264,9 @@
       table_ ? table_->Find(request->host, request->target) : nullptr;
   if (route == nullptr)
     return RefuseUnrouted(*request, done);
+  int urgency = table_->UrgencyOf(*route, request->workspace);
   RoutedRequest routed{std::move(request), table_, route,
-                       GetOrCreateLatency(*route)};
+                       GetOrCreateLatency(*route), urgency};
   RunPtr run = MakeRun(std::move(routed), std::move(done));
   run->Begin();
   return run;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -132,7 +132,8 @@
       searcher->health.EstimateReplyTime(routed_.latency->typical());
   AttemptOptions attempt_options{
       deadline_, target_time_ - reply_time,
-      std::min(reply_deadline, deadline_) - reply_time, route().idempotent};
+      std::min(reply_deadline, deadline_) - reply_time, route().idempotent,
+      routed_.urgency};
   AttemptId id = context_.launcher.Launch(
       searcher, routed_.request, routed_.latency, attempt_options,
       [self, done = std::move(done)](AttemptId id, AttemptReply reply) {
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -55,6 +55,8 @@
   RouteTablePtr table;
   const Route* route = nullptr;
   std::shared_ptr<RouteLatency> latency;
+  // 0 is the most urgent.
+  int urgency = 0;
 };
 
 // Handles one caller's request from its admission to its answer.
--- a/src/dispatch/searcher_transport.h
+++ b/src/dispatch/searcher_transport.h
@@ -74,6 +74,8 @@
   TimePoint write_deadline;
   // Whether the request may run more than once.
   bool idempotent = true;
+  // 0 is the most urgent.
+  int urgency = 0;
 };
 
 // Sends attempts to searchers over shared connections.
--- a/src/route/route_table.cc
+++ b/src/route/route_table.cc
@@ -24,6 +24,7 @@
     services_.emplace(service.name, &service);
   for (const Workspace& workspace : config_.workspaces) {
     workspaces_.emplace(workspace.name, &workspace);
+    ranks_workspaces_ |= workspace.urgency.has_value();
     for (const std::string& it : workspace.api_keys)
       workspaces_by_key_.emplace(it, &workspace);
   }
@@ -64,4 +65,13 @@
   return it == workspaces_by_key_.end() ? nullptr : it->second;
 }
 
+int RouteTable::UrgencyOf(const Route& route,
+                          const std::optional<WorkspaceName>& workspace) const {
+  if (!ranks_workspaces_)
+    return 0;
+  const Workspace* found = workspace ? FindWorkspace(*workspace) : nullptr;
+  return found != nullptr ? found->urgency.value_or(route.urgency)
+                          : route.urgency;
+}
+
 }  // namespace jujubecove
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -25,6 +26,11 @@
   // Null if there is none.
   const Workspace* FindWorkspace(const WorkspaceName& name) const;
   const Workspace* FindWorkspaceByKey(const std::string& api_key) const;
+  // The urgency of a workspace's requests on a route: that of the workspace, or
+  // of the route if the workspace has none. All requests are equally urgent if
+  // no workspace has an urgency.
+  int UrgencyOf(const Route& route,
+                const std::optional<WorkspaceName>& workspace) const;
 
  private:
   ServingConfig config_;
@@ -34,6 +40,7 @@
   std::unordered_map<ServiceName, const ServiceConfig*> services_;
   std::unordered_map<WorkspaceName, const Workspace*> workspaces_;
   std::unordered_map<std::string, const Workspace*> workspaces_by_key_;
+  bool ranks_workspaces_ = false;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/tests/unit/route/route_table_test.cc
+++ b/tests/unit/route/route_table_test.cc
@@ -58,5 +58,19 @@
   EXPECT_EQ(table.FindService(ServiceName("other")), nullptr);
 }
 
+// Deployments whose workspaces have no urgency are served by deadline alone.
+TEST(RouteTableTest, RanksRequestsOnlyIfWorkspacesHaveUrgencies) {
+  ServingConfig config;
+  config.workspaces = {{WorkspaceName("a")}, {WorkspaceName("b")}};
+  Route route;
+  route.urgency = 3;
+  EXPECT_EQ(RouteTable(config).UrgencyOf(route, WorkspaceName("a")), 0);
+  config.workspaces[0].urgency = 1;
+  RouteTable table(config);
+  EXPECT_EQ(table.UrgencyOf(route, WorkspaceName("a")), 1);
+  EXPECT_EQ(table.UrgencyOf(route, WorkspaceName("b")), 3);
+  EXPECT_EQ(table.UrgencyOf(route, std::nullopt), 3);
+}
+
 }  // namespace
 }  // namespace jujubecove
