--- a/src/discovery/discovery_client.cc
+++ b/src/discovery/discovery_client.cc
@@ -37,6 +37,10 @@
                watcher_.set_fleet_size(size);
                callbacks_.fleet_size_changed(size);
              }),
+      evacuations_([this](const ZoneName& zone, bool evacuated) {
+        if (callbacks_.zone_evacuated)
+          callbacks_.zone_evacuated(zone, evacuated);
+      }),
       watcher_(timers, store, *this, "", options.watch_wait, options.seed) {}
 
 void DiscoveryClient::Start() {
@@ -47,11 +51,13 @@
 void DiscoveryClient::OnListingBegin() {
   searchers_.BeginListing();
   fleet_.BeginListing();
+  evacuations_.BeginListing();
 }
 
 void DiscoveryClient::OnListingEnd() {
   searchers_.EndListing();
   fleet_.EndListing();
+  evacuations_.EndListing();
   DecisionLine(log_, LogCategory::kStore, DecisionPriority::kStateChange,
                "store_listed", timers_.Now())
       .Add("searchers", searchers_.ready_count());
@@ -66,9 +72,19 @@
     fleet_.OnDaemonRegistration(
         item.key.substr(codec_.daemon_prefix().size()),
         item.removed ? std::nullopt : std::optional<std::string>(item.value));
+  } else if (item.key.starts_with(codec_.evacuation_prefix())) {
+    OnEvacuation(item);
   }
 }
 
+void DiscoveryClient::OnEvacuation(const KvItem& item) {
+  ZoneName zone(item.key.substr(codec_.evacuation_prefix().size()));
+  if (item.removed)
+    evacuations_.Remove(zone);
+  else
+    evacuations_.Put(zone);
+}
+
 void DiscoveryClient::OnConfig(const KvItem& item) {
   if (item.removed)
     return;
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "discovery/evacuation_registry.h"
 #include "discovery/fleet_membership.h"
 #include "discovery/registration_codec.h"
 #include "discovery/searcher_registry.h"
@@ -21,6 +22,8 @@
     std::function<void(RouteTablePtr)> table_changed;
     SearcherRegistry::Listener searcher_changed;
     FleetMembership::SizeListener fleet_size_changed;
+    // The evacuation of an availability zone began or ended. May be empty.
+    EvacuationRegistry::Listener zone_evacuated{};
   };
   struct Options {
     DaemonEntry own;
@@ -58,6 +61,7 @@
   void OnConfig(const KvItem& item);
   void LogFaults(const ServingConfig& config);
   void OnSearcher(const KvItem& item);
+  void OnEvacuation(const KvItem& item);
 
   TimerService& timers_;
   const RegistrationCodec& codec_;
@@ -65,6 +69,7 @@
   Callbacks callbacks_;
   SearcherRegistry searchers_;
   FleetMembership fleet_;
+  EvacuationRegistry evacuations_;
   StoreWatcher watcher_;
   ConfigVersion config_version_;
   bool has_table_ = false;
--- a/src/discovery/registration_codec.h
+++ b/src/discovery/registration_codec.h
@@ -19,6 +19,8 @@
   // Keys of registrations consist of one of these prefixes and an id.
   virtual const std::string& searcher_prefix() const = 0;
   virtual const std::string& daemon_prefix() const = 0;
+  // A key of this prefix and an availability zone requests its evacuation.
+  virtual const std::string& evacuation_prefix() const = 0;
 
   virtual Result<ServingConfig> DecodeConfig(
       const std::string& value) const = 0;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -59,8 +59,9 @@
     const ServiceName& name) {
   std::shared_ptr<ServicePool>& pool = pools_[name];
   if (!pool) {
-    pool = std::make_shared<ServicePool>(name, options_.own_zone, zones_,
-                                         options_.retry_budget, process_start_);
+    pool =
+        std::make_shared<ServicePool>(name, options_.own_zone, zones_, policy_,
+                                      options_.retry_budget, process_start_);
     pool->budget().set_fleet_size(fleet_size_);
   }
   return pool;
@@ -212,8 +213,22 @@
       .Add("zone", zone.value())
       .Add("isolated", zones_.IsIsolated() ? "yes" : "no");
   // Not from within the reply that is being handled.
-  if (!reachable)
-    timers_.ScheduleAfter(Duration(0), [this, zone] { ReturnQueued(zone); });
+  if (!reachable) {
+    timers_.ScheduleAfter(Duration(0), [this, zone] {
+      ReturnQueued(zone, "its availability zone can't be reached");
+    });
+  }
+}
+
+void Dispatcher::SetZoneEvacuated(const ZoneName& zone, bool evacuated) {
+  policy_.SetEvacuated(zone, evacuated, timers_.Now());
+  DecisionLine(log_, LogCategory::kMembership, DecisionPriority::kStateChange,
+               evacuated ? "zone_evacuated" : "zone_evacuation_ended",
+               timers_.Now())
+      .Add("zone", zone.value())
+      .Add("searchers", SearchersOf(zone).size());
+  if (evacuated)
+    ReturnQueued(zone, "its availability zone is evacuated");
 }
 
 std::vector<SearcherEntry> Dispatcher::SearchersOf(const ZoneName& zone) const {
@@ -227,9 +242,9 @@
   return searchers;
 }
 
-void Dispatcher::ReturnQueued(const ZoneName& zone) {
+void Dispatcher::ReturnQueued(const ZoneName& zone, const std::string& reason) {
   for (const SearcherEntry& it : SearchersOf(zone))
-    transport_.ReturnQueued(it.id, "its availability zone can't be reached");
+    transport_.ReturnQueued(it.id, reason);
 }
 
 bool Dispatcher::CanServe(const Route& route, bool reachable_only) const {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -29,6 +29,9 @@
   void OnSearcherChange(SearcherChange change, const SearcherEntry& entry);
   void SetTable(RouteTablePtr table);
   void SetOptions(const DispatchOptions& options);
+  // An evacuated zone gets no new attempts. Those that wait for a connection
+  // there go elsewhere, those at its searchers finish.
+  void SetZoneEvacuated(const ZoneName& zone, bool evacuated);
   // Number of entry daemons that share limits and budgets, this one included.
   void SetFleetSize(int size);
 
@@ -49,6 +52,7 @@
   std::size_t ready_searchers() const { return ready_searchers_; }
   int fleet_size() const { return fleet_size_; }
   int unreachable_zones() const { return zones_.unreachable_count(); }
+  int evacuated_zones() const { return policy_.evacuated_count(); }
   // Whether this VM is cut off from the other availability zones and can't
   // serve all routes without them.
   bool IsImpaired() const;
@@ -61,7 +65,7 @@
                         const AnswerHandler& done);
   void OnZoneChange(const ZoneName& zone, bool reachable);
   // Returns the attempts that wait for connections to the zone.
-  void ReturnQueued(const ZoneName& zone);
+  void ReturnQueued(const ZoneName& zone, const std::string& reason);
   std::vector<SearcherEntry> SearchersOf(const ZoneName& zone) const;
   bool CanServe(const Route& route, bool reachable_only) const;
   void AddSearcher(const SearcherEntry& entry);
@@ -80,6 +84,7 @@
   RandomEngine random_;
   DispatchMetrics metrics_;
   ZoneReachability zones_;
+  ZonePolicy policy_;
   AttemptLauncher launcher_;
   RetryAdvice retry_advice_;
   ZoneProber prober_;
--- a/src/dispatch/request_run.h
+++ b/src/dispatch/request_run.h
@@ -57,6 +57,7 @@
   std::shared_ptr<RouteLatency> latency;
   // 0 is the most urgent.
   int urgency = 0;
+  RegionLimit limit;
 };
 
 // Handles one caller's request from its admission to its answer.
@@ -100,6 +101,7 @@
   TimePoint target_time() const { return target_time_; }
   const Route& route() const { return *routed_.route; }
   const RoutedRequest& routed() const { return routed_; }
+  const RegionLimit& limit() const { return routed_.limit; }
   RunContext& context() { return context_; }
   using ReplyHandler = std::function<void(AttemptId, AttemptReply)>;
   // A reply after `reply_deadline` would be discarded.
--- a/src/dispatch/scatter_run.cc
+++ b/src/dispatch/scatter_run.cc
@@ -37,7 +37,8 @@
 std::optional<Duration> ScatterRun::WaitForRequiredShards() const {
   std::vector<Duration> waits;
   for (const Shard& it : shards_) {
-    if (std::optional<Duration> wait = it.pool->WaitUntilAvailable(now()))
+    if (std::optional<Duration> wait =
+            it.pool->WaitUntilAvailable(now(), limit()))
       waits.push_back(*wait);
   }
   if (waits.size() < required())
@@ -48,9 +49,25 @@
 }
 
 std::size_t ScatterRun::CountReachable() const {
-  return static_cast<std::size_t>(
-      std::count_if(shards_.begin(), shards_.end(),
-                    [](const Shard& it) { return it.pool->HasReachable(); }));
+  return static_cast<std::size_t>(std::count_if(
+      shards_.begin(), shards_.end(),
+      [this](const Shard& it) { return it.pool->HasReachable(limit()); }));
+}
+
+void ScatterRun::RefuseForLackOfShards(std::optional<Duration> wait) {
+  auto is_available = [this](const Shard& it) {
+    return it.pool->WaitUntilAvailable(now(), limit()) == Duration(0);
+  };
+  auto available = std::count_if(shards_.begin(), shards_.end(), is_available);
+  auto lacking = std::find_if_not(shards_.begin(), shards_.end(), is_available);
+  Refuse(ErrorKind::kNoUpstream,
+         "only " + std::to_string(available) + " of " +
+             std::to_string(shards_.size()) + " shards have a searcher" +
+             (wait ? " that accepts requests" : "") +
+             (lacking == shards_.end()
+                  ? ""
+                  : ": " + lacking->pool->ReasonForNone(limit())),
+         wait);
 }
 
 void ScatterRun::Start() {
@@ -60,15 +77,7 @@
     return;
   }
   if (wait != Duration(0)) {
-    auto available =
-        std::count_if(shards_.begin(), shards_.end(), [this](const Shard& it) {
-          return it.pool->WaitUntilAvailable(now()) == Duration(0);
-        });
-    Refuse(ErrorKind::kNoUpstream,
-           "only " + std::to_string(available) + " of " +
-               std::to_string(shards_.size()) + " shards have a searcher" +
-               (wait ? " that accepts requests" : ""),
-           wait);
+    RefuseForLackOfShards(wait);
     return;
   }
   overdue_check_at_ = now() + kOverdueCheckDelay;
@@ -91,7 +100,7 @@
 bool ScatterRun::LaunchNext(std::size_t index) {
   Shard& shard = shards_[index];
   PooledSearcherPtr searcher = shard.pool->Select(
-      shard.tried, *routed().latency, now(), context().random);
+      shard.tried, *routed().latency, now(), context().random, limit());
   if (!searcher)
     return false;
   shard.tried.push_back(searcher);
--- a/src/dispatch/scatter_run.h
+++ b/src/dispatch/scatter_run.h
@@ -66,6 +66,8 @@
   std::size_t required() const;
   std::optional<Duration> WaitForRequiredShards() const;
   std::size_t CountReachable() const;
+  // `wait` is the time until enough shards have an available searcher.
+  void RefuseForLackOfShards(std::optional<Duration> wait);
 
   std::vector<Shard> shards_;
   std::size_t answered_shards_ = 0;
--- a/src/dispatch/service_pool.h
+++ b/src/dispatch/service_pool.h
@@ -10,6 +10,7 @@
 #include "dispatch/fleet_retry_budget.h"
 #include "dispatch/route_latency.h"
 #include "dispatch/searcher_health.h"
+#include "dispatch/zone_policy.h"
 #include "dispatch/zone_reachability.h"
 
 namespace jujubecove {
@@ -28,11 +29,13 @@
   ServicePool(ServiceName name,
               ZoneName own_zone,
               const ZoneReachability& zones,
+              const ZonePolicy& policy,
               const RetryBudgetOptions& budget,
               TimePoint process_start)
       : name_(std::move(name)),
         own_zone_(std::move(own_zone)),
         zones_(zones),
+        policy_(policy),
         budget_(budget, process_start) {}
 
   void Add(PooledSearcherPtr searcher);
@@ -41,21 +44,31 @@
   PooledSearcherPtr Find(const InstanceId& id) const;
 
   // The available searcher with the lowest expected latency that is not in
-  // `tried`, or null.
+  // `tried` and may be sent a request with this limit of regions, or null.
   PooledSearcherPtr Select(std::span<const PooledSearcherPtr> tried,
                            const RouteLatency& latency,
                            TimePoint now,
-                           RandomEngine& random) const;
+                           RandomEngine& random,
+                           const RegionLimit& limit = {}) const;
+
+  // The following consider only searchers that may be sent a request with this
+  // limit of regions.
 
   // The time until one of the searchers is available, zero if one is. Nothing
   // if there are none.
-  std::optional<Duration> WaitUntilAvailable(TimePoint now) const;
+  std::optional<Duration> WaitUntilAvailable(
+      TimePoint now,
+      const RegionLimit& limit = {}) const;
   // Whether a searcher is in a zone that can be reached.
-  bool HasReachable() const;
+  bool HasReachable(const RegionLimit& limit = {}) const;
   // The lowest expected latency of the available searchers. Nothing if there
   // are none.
-  std::optional<Duration> LowestExpectedLatency(const RouteLatency& latency,
-                                                TimePoint now) const;
+  std::optional<Duration> LowestExpectedLatency(
+      const RouteLatency& latency,
+      TimePoint now,
+      const RegionLimit& limit = {}) const;
+  // Why no searcher can be selected.
+  std::string ReasonForNone(const RegionLimit& limit = {}) const;
 
   const ServiceName& name() const { return name_; }
   bool empty() const { return searchers_.empty(); }
@@ -66,6 +79,7 @@
   ServiceName name_;
   ZoneName own_zone_;
   const ZoneReachability& zones_;
+  const ZonePolicy& policy_;
   std::vector<PooledSearcherPtr> searchers_;
   FleetRetryBudget budget_;
 };
--- a/src/dispatch/single_run.cc
+++ b/src/dispatch/single_run.cc
@@ -26,24 +26,22 @@
       pool_(std::move(pool)) {}
 
 void SingleRun::Start() {
-  if (context().zones.IsIsolated() && !pool_->HasReachable()) {
+  if (context().zones.IsIsolated() && !pool_->HasReachable(limit())) {
     Refuse(ErrorKind::kNoUpstream, kIsolatedReason, kFailoverTime);
     return;
   }
   pool_->budget().CountRequest(now());
   if (!LaunchNext()) {
-    std::string what =
-        pool_->empty() ? "no searcher of " : "no available searcher of ";
-    Refuse(ErrorKind::kNoUpstream, what + pool_->name().value(),
-           pool_->WaitUntilAvailable(now()));
+    Refuse(ErrorKind::kNoUpstream, pool_->ReasonForNone(limit()),
+           pool_->WaitUntilAvailable(now(), limit()));
     return;
   }
   UpdateTimer();
 }
 
 bool SingleRun::LaunchNext() {
-  PooledSearcherPtr searcher =
-      pool_->Select(tried_, *routed().latency, now(), context().random);
+  PooledSearcherPtr searcher = pool_->Select(tried_, *routed().latency, now(),
+                                             context().random, limit());
   if (!searcher)
     return false;
   tried_.push_back(searcher);
@@ -106,9 +104,9 @@
 void SingleRun::AnswerFailure(AttemptReply reply) {
   if (!may_have_run_) {
     std::optional<Duration> wait =
-        pool_->LowestExpectedLatency(*routed().latency, now());
+        pool_->LowestExpectedLatency(*routed().latency, now(), limit());
     if (!wait)
-      wait = pool_->WaitUntilAvailable(now());
+      wait = pool_->WaitUntilAvailable(now(), limit());
     Refuse(ErrorKind::kOverloaded, "refused by the searchers: " + reply.failure,
            wait);
     return;
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -105,6 +105,10 @@
                              timers_.Now())
                     .Add("daemons", size);
                 dispatcher_.SetFleetSize(size);
+              },
+          .zone_evacuated =
+              [this](const ZoneName& zone, bool evacuated) {
+                dispatcher_.SetZoneEvacuated(zone, evacuated);
               }};
 }
 
@@ -229,6 +233,7 @@
   state.ready_searchers = dispatcher_.ready_searchers();
   state.fleet_size = dispatcher_.fleet_size();
   state.unreachable_zones = dispatcher_.unreachable_zones();
+  state.evacuated_zones = dispatcher_.evacuated_zones();
   state.store_connected = discovery_.IsStoreConnected();
   state.caller_connections = caller_server_.connections();
   state.log_lines_left_out = log_.left_out() + sink_.dropped();
--- a/src/front/front_metrics.cc
+++ b/src/front/front_metrics.cc
@@ -24,6 +24,9 @@
       unreachable_zones_(
           registry.AddGauge("jujubecove_zones_unreachable",
                             "Availability zones that can't be reached.")),
+      evacuated_zones_(registry.AddGauge(
+          "jujubecove_zones_evacuated",
+          "Availability zones whose searchers get no new requests.")),
       store_connected_(registry.AddGauge("jujubecove_store_connected",
                                          "1 while the store is reachable.")),
       caller_connections_(registry.AddGauge("jujubecove_caller_connections",
@@ -58,6 +61,7 @@
   set(ready_searchers_, state.ready_searchers);
   set(fleet_size_, state.fleet_size);
   set(unreachable_zones_, state.unreachable_zones);
+  set(evacuated_zones_, state.evacuated_zones);
   set(store_connected_, state.store_connected ? 1 : 0);
   set(caller_connections_, state.caller_connections);
   set(log_lines_left_out_, state.log_lines_left_out);
--- a/src/front/front_metrics.h
+++ b/src/front/front_metrics.h
@@ -15,6 +15,7 @@
   std::size_t ready_searchers = 0;
   int fleet_size = 0;
   int unreachable_zones = 0;
+  int evacuated_zones = 0;
   bool store_connected = false;
   std::size_t caller_connections = 0;
   std::uint64_t log_lines_left_out = 0;
@@ -34,6 +35,7 @@
   Gauge& ready_searchers_;
   Gauge& fleet_size_;
   Gauge& unreachable_zones_;
+  Gauge& evacuated_zones_;
   Gauge& store_connected_;
   Gauge& caller_connections_;
   Gauge& log_lines_left_out_;
--- a/src/platform/registration_codec.cc
+++ b/src/platform/registration_codec.cc
@@ -208,7 +208,8 @@
 PlatformRegistrationCodec::PlatformRegistrationCodec()
     : config_key_(kConfigKey),
       searcher_prefix_(kSearcherPrefix),
-      daemon_prefix_(kDaemonPrefix) {}
+      daemon_prefix_(kDaemonPrefix),
+      evacuation_prefix_(kEvacuationPrefix) {}
 
 Result<ServingConfig> PlatformRegistrationCodec::DecodeConfig(
     const std::string& value) const {
--- a/src/platform/registration_codec.h
+++ b/src/platform/registration_codec.h
@@ -15,6 +15,9 @@
     return searcher_prefix_;
   }
   const std::string& daemon_prefix() const override { return daemon_prefix_; }
+  const std::string& evacuation_prefix() const override {
+    return evacuation_prefix_;
+  }
 
   Result<ServingConfig> DecodeConfig(const std::string& value) const override;
   Result<SearcherEntry> DecodeSearcher(const InstanceId& id,
@@ -27,6 +30,7 @@
   std::string config_key_;
   std::string searcher_prefix_;
   std::string daemon_prefix_;
+  std::string evacuation_prefix_;
 };
 
 }  // namespace jujubecove::platform
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -33,6 +33,9 @@
 inline constexpr char kConfigKey[] = "op/config";
 inline constexpr char kSearcherPrefix[] = "servers/";
 inline constexpr char kDaemonPrefix[] = "fronts/";
+// Followed by the name of an availability zone. Its searchers get no requests
+// while the key exists.
+inline constexpr char kEvacuationPrefix[] = "op/evacuate/";
 
 inline constexpr char kReadyPath[] = "/v1/ready";
 
