--- a/src/dispatch/dispatch_options.h
+++ b/src/dispatch/dispatch_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>
+
 #include "base/ids.h"
 #include "base/units.h"
 #include "dispatch/fleet_retry_budget.h"
@@ -9,6 +11,8 @@
 // Settings of retries, hedges and deadlines.
 struct DispatchOptions {
   ZoneName own_zone;
+  // The region of each zone. Empty if the regions are not known.
+  std::map<ZoneName, RegionName> zone_regions;
   RetryBudgetOptions retry_budget;
   // Network round trip between caller and daemon. Answers are due this much
   // before the route's target.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -49,6 +49,7 @@
               [this](const ZoneName& zone) { return SearchersOf(zone); }),
       context_{timers_, launcher_, random_,  retry_advice_,
                zones_,  log_,      metrics_, options_} {
+  policy_.SetRegions(options_.zone_regions);
   zones_.SetListener([this](const ZoneName& zone, bool reachable) {
     OnZoneChange(zone, reachable);
   });
@@ -192,10 +193,36 @@
   }
   latencies_ = std::move(latencies);
   ApplyConnectionLimits();
+  ReportUnknownRegions();
+}
+
+RegionLimit Dispatcher::LimitOf(
+    const Route& route,
+    const std::optional<WorkspaceName>& workspace) const {
+  const Workspace* found =
+      workspace ? table_->FindWorkspace(*workspace) : nullptr;
+  return RegionLimit(route.allowed_regions,
+                     found != nullptr ? &found->allowed_regions : nullptr);
+}
+
+void Dispatcher::ReportUnknownRegions() const {
+  auto is_limited = [](const auto& it) { return !it.allowed_regions.empty(); };
+  const ServingConfig& config = table_->config();
+  bool limited =
+      std::any_of(config.routes.begin(), config.routes.end(), is_limited) ||
+      std::any_of(config.workspaces.begin(), config.workspaces.end(),
+                  is_limited);
+  if (!limited || policy_.knows_regions())
+    return;
+  DecisionLine(log_, LogCategory::kConfig, DecisionPriority::kStateChange,
+               "region_limits_ignored", timers_.Now())
+      .Add("version", config.version.value())
+      .Add("reason", "the setting vm.zone_regions is empty");
 }
 
 void Dispatcher::SetOptions(const DispatchOptions& options) {
   options_ = options;
+  policy_.SetRegions(options_.zone_regions);
   for (const auto& [name, pool] : pools_)
     pool->budget().set_options(options_.retry_budget);
 }
@@ -280,8 +307,9 @@
   if (route == nullptr)
     return RefuseUnrouted(*request, done);
   int urgency = table_->UrgencyOf(*route, request->workspace);
-  RoutedRequest routed{std::move(request), table_, route,
-                       GetOrCreateLatency(*route), urgency};
+  RegionLimit limit = LimitOf(*route, request->workspace);
+  RoutedRequest routed{std::move(request),         table_,  route,
+                       GetOrCreateLatency(*route), urgency, limit};
   RunPtr run = MakeRun(std::move(routed), std::move(done));
   run->Begin();
   return run;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -56,8 +56,15 @@
   // Whether this VM is cut off from the other availability zones and can't
   // serve all routes without them.
   bool IsImpaired() const;
+  // The regions in which a workspace's requests on a route may be handled. The
+  // route must belong to the current table.
+  RegionLimit LimitOf(const Route& route,
+                      const std::optional<WorkspaceName>& workspace) const;
+  const ZonePolicy& zone_policy() const { return policy_; }
 
  private:
+  // Logs that the configuration limits regions which this daemon does not know.
+  void ReportUnknownRegions() const;
   std::shared_ptr<ServicePool> GetOrCreatePool(const ServiceName& name);
   std::shared_ptr<RouteLatency> GetOrCreateLatency(const Route& route);
   std::shared_ptr<RequestRun> MakeRun(RoutedRequest routed, AnswerHandler done);
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -1,8 +1,12 @@
 #include "front/front_settings.h"
 
 #include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
 #include <fstream>
 #include <iterator>
+#include <map>
+#include <optional>
 
 namespace jujubecove {
 namespace {
@@ -19,6 +23,19 @@
                                   .key = "zone",
                                   .accepted = {.min_size = 1, .max_size = 64},
                                   .doc = "Availability zone of this VM."});
+const Setting<std::string> kRegion({.section = "vm",
+                                    .key = "region",
+                                    .default_value = "",
+                                    .accepted = {.max_size = 64},
+                                    .doc = "Region of this VM."});
+const Setting<std::string> kZoneRegions(
+    {.section = "vm",
+     .key = "zone_regions",
+     .default_value = "",
+     .accepted = {.max_size = 64U << 10U},
+     .doc =
+         "JSON object with the region of each availability zone. Without it, "
+         "routes and workspaces are not limited to regions."});
 const Setting<std::int64_t> kMaxDescriptors(
     {.section = "vm",
      .key = "max_descriptors",
@@ -164,7 +181,8 @@
 const SettingsSchema& FrontSchema() {
   static const SettingsSchema kSchema = {
       {.type = "vm",
-       .settings = {&kVmId, &kZone, &kMaxDescriptors, &kMemory},
+       .settings = {&kVmId, &kZone, &kRegion, &kZoneRegions, &kMaxDescriptors,
+                    &kMemory},
        .doc = "The VM."},
       {.type = "listen",
        .settings = {&kCallers, &kReadiness, &kMetrics, &kPeers, &kQueries},
@@ -187,6 +205,37 @@
   return kSchema;
 }
 
+namespace {
+
+// Returns nullopt if the text is not a JSON object of texts.
+std::optional<std::map<ZoneName, RegionName>> ParseZoneRegions(
+    const std::string& text) {
+  std::map<ZoneName, RegionName> regions;
+  if (text.empty())
+    return regions;
+  boost::system::error_code ec;
+  boost::json::value value = boost::json::parse(text, ec);
+  if (ec || !value.is_object())
+    return std::nullopt;
+  for (const auto& it : value.get_object()) {
+    if (!it.value().is_string())
+      return std::nullopt;
+    regions[ZoneName(std::string(it.key()))] =
+        RegionName(std::string(it.value().get_string()));
+  }
+  return regions;
+}
+
+void SetRegions(const Settings& settings, DispatchOptions& options) {
+  options.zone_regions = ParseZoneRegions(settings.Get(kZoneRegions))
+                             .value_or(std::map<ZoneName, RegionName>());
+  // The own zone may be newer than the list.
+  if (!options.zone_regions.empty() && !settings.Get(kRegion).empty())
+    options.zone_regions[options.own_zone] = RegionName(settings.Get(kRegion));
+}
+
+}  // namespace
+
 FrontConfig MakeFrontConfig(const Settings& settings) {
   FrontConfig config;
   config.vm = VmId(settings.Get(kVmId));
@@ -210,6 +259,7 @@
       static_cast<int>(settings.Get(kLogLinesPerSecond));
   config.log_level = settings.Get(kLogLevel);
   config.dispatch.own_zone = config.zone;
+  SetRegions(settings, config.dispatch);
   config.dispatch.retry_budget.ratio = settings.Get(kRetryBudgetRatio);
   config.dispatch.retry_budget.slack = settings.Get(kRetryBudgetSlack);
   config.dispatch.retry_budget.window =
@@ -227,8 +277,13 @@
   if (!stream)
     faults.push_back(SettingFault{source.path, 0, "", "", "can't be read"});
   IniFile file = IniFile::Parse(source.path, text, faults);
-  return MakeFrontConfig(
-      Settings::Load(FrontSchema(), file, source.overrides, faults));
+  Settings settings =
+      Settings::Load(FrontSchema(), file, source.overrides, faults);
+  if (!ParseZoneRegions(settings.Get(kZoneRegions))) {
+    faults.push_back(settings.FaultAt(
+        kZoneRegions, "", "is not a JSON object of zones with their regions"));
+  }
+  return MakeFrontConfig(settings);
 }
 
 }  // namespace jujubecove
--- a/src/settings/overrides.cc
+++ b/src/settings/overrides.cc
@@ -1,9 +1,28 @@
 #include "settings/overrides.h"
 
-#include <sstream>
 #include <utility>
 
 namespace jujubecove {
+namespace {
+
+// A comma within braces belongs to a value that is a JSON object.
+void SplitAtCommas(const std::string& text, std::vector<std::string>& parts) {
+  int depth = 0;
+  std::string part;
+  for (char c : text) {
+    depth += c == '{' ? 1 : c == '}' ? -1 : 0;
+    if (c == ',' && depth == 0) {
+      parts.push_back(std::move(part));
+      part.clear();
+    } else {
+      part += c;
+    }
+  }
+  if (!part.empty())
+    parts.push_back(std::move(part));
+}
+
+}  // namespace
 
 std::vector<std::string> TakeOverrides(std::vector<std::string>& arguments) {
   std::vector<std::string> values;
@@ -20,11 +39,8 @@
   }
   arguments = std::move(rest);
   std::vector<std::string> overrides;
-  for (const std::string& value : values) {
-    std::istringstream stream(value);
-    for (std::string part; std::getline(stream, part, ',');)
-      overrides.push_back(part);
-  }
+  for (const std::string& value : values)
+    SplitAtCommas(value, overrides);
   return overrides;
 }
 
--- a/tests/unit/daemon/daemon_settings_test.cc
+++ b/tests/unit/daemon/daemon_settings_test.cc
@@ -69,11 +69,16 @@
 
 // gflags drops all but the last of a repeated flag.
 TEST(CommandLineTest, CollectsRepeatedOverrides) {
-  std::vector<std::string> arguments = {
-      "jujubecoved",       "--set",  "a.b=1", "--config=x",
-      "--set=c.d=2,e.f=3", "--check"};
+  std::vector<std::string> arguments = {"jujubecoved",
+                                        "--set",
+                                        "a.b=1",
+                                        "--config=x",
+                                        "--set=c.d=2,e.f=3",
+                                        "--check",
+                                        R"(--set=g.h={"x":"y","z":"w"},i.j=4)"};
   EXPECT_THAT(TakeOverrides(arguments),
-              testing::ElementsAre("a.b=1", "c.d=2", "e.f=3"));
+              testing::ElementsAre("a.b=1", "c.d=2", "e.f=3",
+                                   R"(g.h={"x":"y","z":"w"})", "i.j=4"));
   EXPECT_THAT(arguments,
               testing::ElementsAre("jujubecoved", "--config=x", "--check"));
 }
--- a/tests/unit/front/front_settings_test.cc
+++ b/tests/unit/front/front_settings_test.cc
@@ -52,6 +52,25 @@
   EXPECT_NE(text.find("[store] address"), std::string::npos) << text;
 }
 
+TEST(FrontSettingsTest, ReadsRegionsOfZones) {
+  std::vector<SettingFault> faults;
+  std::string path = testing::TempDir() + "front_settings_test.ini";
+  std::ofstream(path) << kValid;
+  FrontConfig config = LoadFrontConfig(
+      {path,
+       {"vm.region=r1", R"(vm.zone_regions={"karatina":"r1","far":"r2"})"}},
+      faults);
+  EXPECT_TRUE(faults.empty());
+  std::map<ZoneName, RegionName> expected = {
+      {ZoneName("karatina"), RegionName("r1")},
+      {ZoneName("far"), RegionName("r2")},
+      {ZoneName("nyeri"), RegionName("r1")}};
+  EXPECT_EQ(config.dispatch.zone_regions, expected);
+  EXPECT_TRUE(Load(kValid, faults).dispatch.zone_regions.empty());
+  LoadFrontConfig({path, {"vm.zone_regions=[1]"}}, faults);
+  EXPECT_EQ(faults.size(), 1U);
+}
+
 TEST(FrontSettingsTest, ReportsMissingFile) {
   std::vector<SettingFault> faults;
   LoadFrontConfig("/nonexistent/front.ini", faults);
