--- a/src/discovery/discovery_client.cc
+++ b/src/discovery/discovery_client.cc
@@ -1,5 +1,6 @@
 #include "discovery/discovery_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jujubecove {
@@ -13,6 +14,7 @@
 // Registrations expire after three missed heartbeats, which takes longer than
 // this, so none expires in a shorter outage.
 constexpr Duration kMaxHarmlessOutage = milliseconds(1500);
+constexpr std::size_t kMaxLoggedFaults = 20;
 
 }  // namespace
 
@@ -35,6 +37,10 @@
                watcher_.set_fleet_size(size);
                callbacks_.fleet_size_changed(size);
              }),
+      evacuations_([this](const ZoneName& zone, bool evacuated) {
+        if (callbacks_.zone_evacuated)
+          callbacks_.zone_evacuated(zone, evacuated);
+      }),
       watcher_(timers, store, *this, "", options.watch_wait, options.seed) {}
 
 void DiscoveryClient::Start() {
@@ -45,11 +51,13 @@
 void DiscoveryClient::OnListingBegin() {
   searchers_.BeginListing();
   fleet_.BeginListing();
+  evacuations_.BeginListing();
 }
 
 void DiscoveryClient::OnListingEnd() {
   searchers_.EndListing();
   fleet_.EndListing();
+  evacuations_.EndListing();
   DecisionLine(log_, LogCategory::kStore, DecisionPriority::kStateChange,
                "store_listed", timers_.Now())
       .Add("searchers", searchers_.ready_count());
@@ -64,9 +72,19 @@
     fleet_.OnDaemonRegistration(
         item.key.substr(codec_.daemon_prefix().size()),
         item.removed ? std::nullopt : std::optional<std::string>(item.value));
+  } else if (item.key.starts_with(codec_.evacuation_prefix())) {
+    OnEvacuation(item);
   }
 }
 
+void DiscoveryClient::OnEvacuation(const KvItem& item) {
+  ZoneName zone(item.key.substr(codec_.evacuation_prefix().size()));
+  if (item.removed)
+    evacuations_.Remove(zone);
+  else
+    evacuations_.Put(zone);
+}
+
 void DiscoveryClient::OnConfig(const KvItem& item) {
   if (item.removed)
     return;
@@ -87,7 +105,10 @@
       .Add("version", version.value())
       .Add("previous", config_version_.value())
       .Add("revision", item.revision.value())
-      .Add("routes", config.value().routes.size());
+      .Add("routes", config.value().routes.size())
+      .Add("workspaces", config.value().workspaces.size())
+      .Add("faults", config.value().faults.size());
+  LogFaults(config.value());
   config_version_ = version;
   has_table_ = true;
   table_since_ = now;
@@ -95,6 +116,16 @@
       std::make_shared<const RouteTable>(std::move(config.value())));
 }
 
+void DiscoveryClient::LogFaults(const ServingConfig& config) {
+  std::size_t count = std::min(config.faults.size(), kMaxLoggedFaults);
+  for (std::size_t n = 0; n < count; ++n) {
+    DecisionLine(log_, LogCategory::kConfig, DecisionPriority::kStateChange,
+                 "config_fault", timers_.Now())
+        .Add("version", config.version.value())
+        .Add("reason", config.faults[n]);
+  }
+}
+
 void DiscoveryClient::OnSearcher(const KvItem& item) {
   InstanceId id(item.key.substr(codec_.searcher_prefix().size()));
   if (item.removed) {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -49,6 +49,7 @@
               [this](const ZoneName& zone) { return SearchersOf(zone); }),
       context_{timers_, launcher_, random_,  retry_advice_,
                zones_,  log_,      metrics_, options_} {
+  policy_.SetRegions(options_.zone_regions);
   zones_.SetListener([this](const ZoneName& zone, bool reachable) {
     OnZoneChange(zone, reachable);
   });
@@ -59,8 +60,9 @@
     const ServiceName& name) {
   std::shared_ptr<ServicePool>& pool = pools_[name];
   if (!pool) {
-    pool = std::make_shared<ServicePool>(name, options_.own_zone, zones_,
-                                         options_.retry_budget, process_start_);
+    pool =
+        std::make_shared<ServicePool>(name, options_.own_zone, zones_, policy_,
+                                      options_.retry_budget, process_start_);
     pool->budget().set_fleet_size(fleet_size_);
   }
   return pool;
@@ -191,10 +193,36 @@
   }
   latencies_ = std::move(latencies);
   ApplyConnectionLimits();
+  ReportUnknownRegions();
+}
+
+RegionLimit Dispatcher::LimitOf(
+    const Route& route,
+    const std::optional<WorkspaceName>& workspace) const {
+  const Workspace* found =
+      workspace ? table_->FindWorkspace(*workspace) : nullptr;
+  return RegionLimit(route.allowed_regions,
+                     found != nullptr ? &found->allowed_regions : nullptr);
+}
+
+void Dispatcher::ReportUnknownRegions() const {
+  auto is_limited = [](const auto& it) { return !it.allowed_regions.empty(); };
+  const ServingConfig& config = table_->config();
+  bool limited =
+      std::any_of(config.routes.begin(), config.routes.end(), is_limited) ||
+      std::any_of(config.workspaces.begin(), config.workspaces.end(),
+                  is_limited);
+  if (!limited || policy_.knows_regions())
+    return;
+  DecisionLine(log_, LogCategory::kConfig, DecisionPriority::kStateChange,
+               "region_limits_ignored", timers_.Now())
+      .Add("version", config.version.value())
+      .Add("reason", "the setting vm.zone_regions is empty");
 }
 
 void Dispatcher::SetOptions(const DispatchOptions& options) {
   options_ = options;
+  policy_.SetRegions(options_.zone_regions);
   for (const auto& [name, pool] : pools_)
     pool->budget().set_options(options_.retry_budget);
 }
@@ -212,8 +240,22 @@
       .Add("zone", zone.value())
       .Add("isolated", zones_.IsIsolated() ? "yes" : "no");
   // Not from within the reply that is being handled.
-  if (!reachable)
-    timers_.ScheduleAfter(Duration(0), [this, zone] { ReturnQueued(zone); });
+  if (!reachable) {
+    timers_.ScheduleAfter(Duration(0), [this, zone] {
+      ReturnQueued(zone, "its availability zone can't be reached");
+    });
+  }
+}
+
+void Dispatcher::SetZoneEvacuated(const ZoneName& zone, bool evacuated) {
+  policy_.SetEvacuated(zone, evacuated, timers_.Now());
+  DecisionLine(log_, LogCategory::kMembership, DecisionPriority::kStateChange,
+               evacuated ? "zone_evacuated" : "zone_evacuation_ended",
+               timers_.Now())
+      .Add("zone", zone.value())
+      .Add("searchers", SearchersOf(zone).size());
+  if (evacuated)
+    ReturnQueued(zone, "its availability zone is evacuated");
 }
 
 std::vector<SearcherEntry> Dispatcher::SearchersOf(const ZoneName& zone) const {
@@ -227,9 +269,9 @@
   return searchers;
 }
 
-void Dispatcher::ReturnQueued(const ZoneName& zone) {
+void Dispatcher::ReturnQueued(const ZoneName& zone, const std::string& reason) {
   for (const SearcherEntry& it : SearchersOf(zone))
-    transport_.ReturnQueued(it.id, "its availability zone can't be reached");
+    transport_.ReturnQueued(it.id, reason);
 }
 
 bool Dispatcher::CanServe(const Route& route, bool reachable_only) const {
@@ -264,8 +306,10 @@
       table_ ? table_->Find(request->host, request->target) : nullptr;
   if (route == nullptr)
     return RefuseUnrouted(*request, done);
-  RoutedRequest routed{std::move(request), table_, route,
-                       GetOrCreateLatency(*route)};
+  int urgency = table_->UrgencyOf(*route, request->workspace);
+  RegionLimit limit = LimitOf(*route, request->workspace);
+  RoutedRequest routed{std::move(request),         table_,  route,
+                       GetOrCreateLatency(*route), urgency, limit};
   RunPtr run = MakeRun(std::move(routed), std::move(done));
   run->Begin();
   return run;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -95,6 +95,8 @@
   else
     line.Add("status", answer.status);
   line.Add("deadline_ms", deadline_ - routed_.request->received);
+  if (routed_.request->workspace)
+    line.Add("workspace", routed_.request->workspace->value());
   Describe(line);
   if (!answer.part_proofs.empty()) {
     line.Add("parts", answer.part_proofs.size())
@@ -130,7 +132,8 @@
       searcher->health.EstimateReplyTime(routed_.latency->typical());
   AttemptOptions attempt_options{
       deadline_, target_time_ - reply_time,
-      std::min(reply_deadline, deadline_) - reply_time, route().idempotent};
+      std::min(reply_deadline, deadline_) - reply_time, route().idempotent,
+      routed_.urgency};
   AttemptId id = context_.launcher.Launch(
       searcher, routed_.request, routed_.latency, attempt_options,
       [self, done = std::move(done)](AttemptId id, AttemptReply reply) {
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -51,6 +51,7 @@
                  timers_,
                  searcher_protocol_,
                  config_.max_reply_memory),
+      authenticator_(credential_protocol_, timers_, log_, registry_),
       dispatcher_(timers_,
                   transport_,
                   log_,
@@ -104,6 +105,10 @@
                              timers_.Now())
                     .Add("daemons", size);
                 dispatcher_.SetFleetSize(size);
+              },
+          .zone_evacuated =
+              [this](const ZoneName& zone, bool evacuated) {
+                dispatcher_.SetZoneEvacuated(zone, evacuated);
               }};
 }
 
@@ -170,6 +175,11 @@
 std::shared_ptr<PendingRequest> FrontDaemon::Submit(
     ForwardedRequestPtr request,
     RequestRun::AnswerHandler done) {
+  if (std::optional<CallerAnswer> refusal =
+          authenticator_.Authenticate(dispatcher_.table(), request)) {
+    done(std::move(*refusal));
+    return nullptr;
+  }
   if (!draining_ || CanFinish(*request))
     return dispatcher_.Submit(std::move(request), std::move(done));
   done(RefusalWhileStopping());
@@ -223,6 +233,7 @@
   state.ready_searchers = dispatcher_.ready_searchers();
   state.fleet_size = dispatcher_.fleet_size();
   state.unreachable_zones = dispatcher_.unreachable_zones();
+  state.evacuated_zones = dispatcher_.evacuated_zones();
   state.store_connected = discovery_.IsStoreConnected();
   state.caller_connections = caller_server_.connections();
   state.log_lines_left_out = log_.left_out() + sink_.dropped();
