--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -37,6 +37,7 @@
     {ErrorKind::kShardsUnavailable, "shards_unavailable", 504,
      Execution::kUnknown},
     {ErrorKind::kInternal, "internal", 500, Execution::kUnknown},
+    {ErrorKind::kRateLimited, "rate_limited", 429, Execution::kNotRun},
 }};
 
 constexpr bool RowsFollowEnumOrder() {
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -35,10 +35,11 @@
   kOutcomeUnknown,
   kShardsUnavailable,
   kInternal,
+  kRateLimited,
 };
 
 inline constexpr int kErrorKindCount =
-    static_cast<int>(ErrorKind::kInternal) + 1;
+    static_cast<int>(ErrorKind::kRateLimited) + 1;
 
 // How an error kind is reported to the caller. `execution` is the default;
 // proof that the request did not run overrides it.
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -41,6 +41,8 @@
   void OnSearcherLeaving(const SearcherEntry& entry);
   // Whether a configuration and a listing of the searchers have been received.
   bool IsSynced() const { return has_table_ && watcher_.is_listed(); }
+  // See StoreWatcher::confirmed_at().
+  TimePoint view_confirmed_at() const { return watcher_.confirmed_at(); }
   bool IsStoreConnected() const { return watcher_.is_connected(); }
   FleetDirectory& fleet() { return fleet_.directory(); }
 
--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -53,6 +53,7 @@
 
 void StoreWatcher::List() {
   listing_revision_ = StoreRevision{};
+  read_started_ = timers_.NowWithSuspension();
   ReadPage("");
 }
 
@@ -85,6 +86,7 @@
 void StoreWatcher::EndListing() {
   watch_revision_ = listing_revision_;
   listed_ = true;
+  confirmed_at_ = read_started_;
   listener_.OnListingEnd();
   Watch();
 }
@@ -95,6 +97,7 @@
 
 void StoreWatcher::WatchFor(Duration wait) {
   StartCall(wait);
+  read_started_ = timers_.NowWithSuspension();
   store_.Watch(prefix_, watch_revision_, wait,
                [this](KvPage page) { OnEvents(std::move(page)); });
 }
@@ -114,6 +117,7 @@
   for (const KvItem& it : page.items)
     Apply(it);
   watch_revision_ = std::max(watch_revision_, page.current_revision);
+  confirmed_at_ = read_started_;
   if (page.items.empty()) {
     Watch();
     return;
--- a/src/discovery/store_watcher.h
+++ b/src/discovery/store_watcher.h
@@ -54,6 +54,9 @@
   bool is_connected() const { return connected_; }
   // Whether a listing was completed.
   bool is_listed() const { return listed_; }
+  // Every change that the store made before this time of
+  // TimerService::NowWithSuspension() has been applied.
+  TimePoint confirmed_at() const { return confirmed_at_; }
 
  private:
   void List();
@@ -86,6 +89,10 @@
   // When the current call started, and from when on a store that serves would
   // have answered it.
   TimePoint call_started_{};
+  // By the clock that counts suspension: the start of the current call or
+  // listing, and of the last one that was successful.
+  TimePoint read_started_{};
+  TimePoint confirmed_at_ = TimePoint::min();
   TimePoint answer_due_{};
   StoreCallStats calls_;
   // The watch reports changes after this revision.
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -41,6 +41,7 @@
 
 FrontDaemon::FrontDaemon(FrontConfig config, SettingsSource source)
     : config_(std::move(config)),
+      own_entry_(OwnEntry()),
       source_(std::move(source)),
       timers_(context_),
       sink_(STDOUT_FILENO, kLogBufferBytes),
@@ -61,7 +62,7 @@
                  store_,
                  codec_,
                  log_,
-                 {OwnEntry(), config_.store_watch_wait, SystemSeed()},
+                 {own_entry_, config_.store_watch_wait, SystemSeed()},
                  DiscoveryCallbacks()),
       operations_host_(
           [this](const std::string& path) { return AnswerOperations(path); }),
@@ -82,6 +83,11 @@
                       kOperationsConnections),
       peer_server_(context_, timers_, kPeerConnections),
       peer_client_(context_, timers_),
+      quota_(QuotaEnvironment(),
+             config_.quota,
+             own_entry_,
+             discovery_.fleet(),
+             [this] { return discovery_.view_confirmed_at(); }),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   dispatcher_.SetLeavingHandler([this](const SearcherEntry& entry) {
     discovery_.OnSearcherLeaving(entry);
@@ -91,6 +97,7 @@
 DiscoveryClient::Callbacks FrontDaemon::DiscoveryCallbacks() {
   return {.table_changed =
               [this](RouteTablePtr table) {
+                quota_.SetTable(table);
                 dispatcher_.SetTable(std::move(table));
               },
           .searcher_changed =
@@ -107,6 +114,10 @@
               }};
 }
 
+QuotaService::Environment FrontDaemon::QuotaEnvironment() {
+  return {timers_, peer_server_, peer_client_, log_, registry_};
+}
+
 DaemonEntry FrontDaemon::OwnEntry() const {
   DaemonEntry entry;
   entry.vm = config_.vm;
@@ -170,10 +181,16 @@
 std::shared_ptr<PendingRequest> FrontDaemon::Submit(
     ForwardedRequestPtr request,
     RequestRun::AnswerHandler done) {
-  if (!draining_ || CanFinish(*request))
-    return dispatcher_.Submit(std::move(request), std::move(done));
-  done(RefusalWhileStopping());
-  return nullptr;
+  if (draining_ && !CanFinish(*request)) {
+    done(RefusalWhileStopping());
+    return nullptr;
+  }
+  return quota_.Submit(std::move(request), std::move(done),
+                       [this](ForwardedRequestPtr admitted,
+                              RequestRun::AnswerHandler handler) {
+                         return dispatcher_.Submit(std::move(admitted),
+                                                   std::move(handler));
+                       });
 }
 
 bool FrontDaemon::IsPastCutoff() const {
@@ -285,6 +302,8 @@
   DecisionLine(log_, LogCategory::kDaemon, DecisionPriority::kStateChange,
                "draining", drain_started_)
       .Add("connections", caller_server_.connections());
+  // Other VMs grant this one's parts as soon as it is not registered any more.
+  quota_.Stop();
   discovery_.Leave([] {});
   timers_.ScheduleAfter(kBalancerRemovalTime, [this] { ContinueDrain(); });
   timers_.ScheduleAfter(config_.drain_grace - kAnswerBeforeKill,
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -19,6 +19,7 @@
 #include "platform/http_protocol.h"
 #include "platform/kv_client.h"
 #include "platform/registration_codec.h"
+#include "quota/quota_service.h"
 #include "telemetry/decision_log.h"
 
 namespace jujubecove {
@@ -48,6 +49,7 @@
  private:
   DiscoveryClient::Callbacks DiscoveryCallbacks();
   DaemonEntry OwnEntry() const;
+  QuotaService::Environment QuotaEnvironment();
   CallerAnswer AnswerOperations(const std::string& path);
   void WaitForSignal();
   void Reload();
@@ -66,6 +68,8 @@
   FrontState CollectState() const;
 
   FrontConfig config_;
+  // The registration of this process.
+  DaemonEntry own_entry_;
   SettingsSource source_;
   std::filesystem::file_time_type settings_time_;
   boost::asio::io_context context_;
@@ -88,6 +92,7 @@
   IngressServer metrics_server_;
   PeerServer peer_server_;
   PeerClient peer_client_;
+  QuotaService quota_;
   boost::asio::signal_set signals_;
   IngressLimits default_limits_;
   bool draining_ = false;
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -107,6 +107,29 @@
      .accepted = {.min = 1, .max = 600},
      .doc = "Length of the sliding window of the retry budget."});
 
+const Setting<std::int64_t> kQuotaWindow(
+    {.section = "quota",
+     .key = "window_s",
+     .default_value = 0,
+     .unit = "s",
+     .accepted = {.min = 0, .max = 600},
+     .doc = "Length of the sliding window in which the rate limits of "
+            "workspaces hold over the whole fleet. 0 disables them."});
+const Setting<double> kQuotaOverage(
+    {.section = "quota",
+     .key = "overage",
+     .default_value = 0.1,
+     .accepted = {.min = 0.0, .max = 1.0},
+     .doc = "Requests that the fleet may admit in a window beyond the limit of "
+            "a workspace, as a share of it."});
+const Setting<double> kQuotaSlack(
+    {.section = "quota",
+     .key = "slack",
+     .default_value = 20.0,
+     .accepted = {.min = 0.0, .max = 1e6},
+     .doc = "Requests that the fleet may admit in a window beyond the limit "
+            "and the overage."});
+
 const Setting<std::int64_t> kDrainGrace(
     {.section = "drain",
      .key = "grace_s",
@@ -176,6 +199,9 @@
        .settings = {&kRetryBudgetRatio, &kRetryBudgetSlack,
                     &kRetryBudgetWindow},
        .doc = "Retries and hedges."},
+      {.type = "quota",
+       .settings = {&kQuotaWindow, &kQuotaOverage, &kQuotaSlack},
+       .doc = "Rate limits of workspaces."},
       {.type = "drain", .settings = {&kDrainGrace}, .doc = "Shutdown."},
       {.type = "dispatch",
        .settings = {&kCallerRoundTrip, &kHedgeQuantile},
@@ -214,6 +240,9 @@
   config.dispatch.retry_budget.slack = settings.Get(kRetryBudgetSlack);
   config.dispatch.retry_budget.window =
       seconds(settings.Get(kRetryBudgetWindow));
+  config.quota.window = seconds(settings.Get(kQuotaWindow));
+  config.quota.overage = settings.Get(kQuotaOverage);
+  config.quota.slack = settings.Get(kQuotaSlack);
   config.dispatch.caller_round_trip = settings.Get(kCallerRoundTrip);
   config.dispatch.hedge_quantile = settings.Get(kHedgeQuantile);
   return config;
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "dispatch/dispatch_options.h"
+#include "quota/quota_options.h"
 #include "settings/settings.h"
 #include "telemetry/log.h"
 
@@ -32,6 +33,8 @@
   int log_lines_per_second = 0;
   LogLevel log_level = LogLevel::kInfo;
   DispatchOptions dispatch;
+  // The rate limits of workspaces are not enforced without a window.
+  QuotaOptions quota;
 };
 
 const SettingsSchema& FrontSchema();
--- a/src/kernel/asio_timer_service.cc
+++ b/src/kernel/asio_timer_service.cc
@@ -2,6 +2,7 @@
 
 #include <boost/system/error_code.hpp>
 #include <chrono>
+#include <ctime>
 
 namespace jujubecove {
 
@@ -14,6 +15,15 @@
   return TimePoint(std::chrono::duration_cast<Duration>(elapsed));
 }
 
+TimePoint AsioTimerService::NowWithSuspension() const {
+  timespec time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &time) != 0)
+    return Now();
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 TimerId AsioTimerService::ScheduleAt(TimePoint when,
                                      std::function<void()> callback) {
   std::uint64_t id = next_id_++;
--- a/src/kernel/asio_timer_service.h
+++ b/src/kernel/asio_timer_service.h
@@ -18,6 +18,7 @@
   explicit AsioTimerService(boost::asio::io_context& context);
 
   TimePoint Now() const override;
+  TimePoint NowWithSuspension() const override;
   TimerId ScheduleAt(TimePoint when, std::function<void()> callback) override;
   void Cancel(TimerId id) override;
 
--- a/src/kernel/timer_service.h
+++ b/src/kernel/timer_service.h
@@ -18,6 +18,9 @@
   virtual ~TimerService() = default;
 
   virtual TimePoint Now() const = 0;
+  // Like Now(), but also counts time in which the VM was suspended. Only values
+  // of this clock can be compared with each other.
+  virtual TimePoint NowWithSuspension() const { return Now(); }
   // Runs `callback` once at `when`, or as soon as possible if `when` has
   // passed.
   virtual TimerId ScheduleAt(TimePoint when,
--- /dev/null
+++ b/src/quota/quota_node.cc
@@ -0,0 +1,69 @@
+#include "quota/quota_node.h"
+
+#include <utility>
+
+namespace jujubecove {
+namespace {
+
+constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
+// In a larger zone the hold-off alone decides, since announcements grow with the
+// square of the VMs that start together.
+constexpr std::size_t kMaxAnnounced = 64;
+
+}  // namespace
+
+QuotaNode::QuotaNode(TimerService& timers,
+                     const QuotaOptions& options,
+                     DaemonEntry own,
+                     QuotaTransport& transport,
+                     QuotaMetrics& metrics)
+    : timers_(timers),
+      own_(std::move(own)),
+      transport_(transport),
+      map_(own_.vm, own_.zone, own_.incarnation),
+      guard_(timers),
+      owner_(timers, options, map_, guard_),
+      client_(timers, options, map_, owner_, transport, metrics) {}
+
+void QuotaNode::SetTable(const RouteTablePtr& table) {
+  owner_.SetTable(table);
+  client_.SetTable(*table);
+}
+
+void QuotaNode::OnFleetChanged(const FleetDirectory& fleet) {
+  map_.Update(fleet);
+  std::vector<DaemonEntry> peers = map_.ZonePeers();
+  if (!map_.is_registered())
+    guard_.OnUnregistered();
+  else if (guard_.is_registered())
+    guard_.OnPeersChanged(peers);
+  else
+    guard_.OnRegistered(peers);
+  owner_.OnOwnersChanged();
+  Announce();
+}
+
+void QuotaNode::OnAnnounced(const DaemonEntry& entry) {
+  map_.AddAnnounced(entry);
+  owner_.OnOwnersChanged();
+}
+
+void QuotaNode::Announce() {
+  const std::map<VmId, DaemonEntry>& peers = guard_.unacknowledged();
+  if (announcing_ || peers.empty() || peers.size() > kMaxAnnounced ||
+      guard_.IsHoldOffOver())
+    return;
+  announcing_ = true;
+  for (const auto& [vm, entry] : peers) {
+    transport_.Announce(entry, own_, [this, vm = vm](bool acknowledged) {
+      if (acknowledged)
+        guard_.OnAcknowledged(vm);
+    });
+  }
+  timers_.ScheduleAfter(kAnnounceInterval, [this] {
+    announcing_ = false;
+    Announce();
+  });
+}
+
+}  // namespace jujubecove
