--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -34,6 +34,7 @@
   commands.push_back(std::make_unique<StatusCommand>());
   commands.push_back(std::make_unique<InForceCommand>());
   commands.push_back(std::make_unique<TraceCommand>());
+  commands.push_back(std::make_unique<QuotaCommand>());
   return commands;
 }
 
--- a/src/ctl/platform_commands.h
+++ b/src/ctl/platform_commands.h
@@ -33,4 +33,18 @@
                const CommandContext& context) override;
 };
 
+// Shows the rate limit of a workspace and the parts that the entry daemons
+// grant.
+class QuotaCommand : public Command {
+ public:
+  std::string name() const override { return "quota"; }
+  std::string arguments() const override { return "WORKSPACE"; }
+  std::string summary() const override {
+    return "prints a workspace's rate limit and its parts over the fleet";
+  }
+  std::string help() const override;
+  ExitCode Run(const std::vector<std::string>& arguments,
+               const CommandContext& context) override;
+};
+
 }  // namespace jujubecove
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -114,7 +114,8 @@
      .unit = "s",
      .accepted = {.min = 0, .max = 600},
      .doc = "Length of the sliding window in which the rate limits of "
-            "workspaces hold over the whole fleet. 0 disables them."});
+            "workspaces hold over the whole fleet. 0 disables them; they also "
+            "need listen.peers."});
 const Setting<double> kQuotaOverage(
     {.section = "quota",
      .key = "overage",
@@ -240,7 +241,9 @@
   config.dispatch.retry_budget.slack = settings.Get(kRetryBudgetSlack);
   config.dispatch.retry_budget.window =
       seconds(settings.Get(kRetryBudgetWindow));
-  config.quota.window = seconds(settings.Get(kQuotaWindow));
+  // The limits need calls between the daemons.
+  if (config.listen_peers.port != 0)
+    config.quota.window = seconds(settings.Get(kQuotaWindow));
   config.quota.overage = settings.Get(kQuotaOverage);
   config.quota.slack = settings.Get(kQuotaSlack);
   config.dispatch.caller_round_trip = settings.Get(kCallerRoundTrip);
--- a/src/quota/ownership_guard.cc
+++ b/src/quota/ownership_guard.cc
@@ -37,7 +37,7 @@
 bool OwnershipGuard::IsConfirmed() const {
   if (!registered_ || (!unacknowledged_.empty() && !IsHoldOffOver()))
     return false;
-  return view_confirmed_ + kViewLifetime > timers_.NowWithSuspension();
+  return view_confirmed_() + kViewLifetime > timers_.NowWithSuspension();
 }
 
 }  // namespace jujubecove
--- a/src/quota/ownership_guard.h
+++ b/src/quota/ownership_guard.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "discovery/daemon_entry.h"
@@ -25,7 +27,11 @@
   // from the start of the last successful read.
   static constexpr Duration kHoldOff = std::chrono::seconds(17);
 
-  explicit OwnershipGuard(TimerService& timers) : timers_(timers) {}
+  // Returns StoreWatcher::confirmed_at().
+  using ViewConfirmed = std::function<TimePoint()>;
+
+  OwnershipGuard(TimerService& timers, ViewConfirmed view_confirmed)
+      : timers_(timers), view_confirmed_(std::move(view_confirmed)) {}
 
   // This process has read its own registration; `peers` are the other VMs of its
   // zone that are registered.
@@ -36,10 +42,9 @@
   // than this process knows it.
   void OnPeersChanged(const std::vector<DaemonEntry>& peers);
   void OnAcknowledged(const VmId& vm);
-  // Every change of the store before `time`, by NowWithSuspension(), is known.
-  void SetViewConfirmed(TimePoint time) { view_confirmed_ = time; }
 
   bool IsConfirmed() const;
+  TimePoint view_confirmed() const { return view_confirmed_(); }
   bool is_registered() const { return registered_; }
   // VMs that have not acknowledged yet.
   const std::map<VmId, DaemonEntry>& unacknowledged() const {
@@ -49,9 +54,9 @@
 
  private:
   TimerService& timers_;
+  ViewConfirmed view_confirmed_;
   bool registered_ = false;
   TimePoint registered_at_{};
-  TimePoint view_confirmed_ = TimePoint::min();
   std::map<VmId, DaemonEntry> unacknowledged_;
 };
 
--- a/src/quota/quota_node.cc
+++ b/src/quota/quota_node.cc
@@ -5,6 +5,8 @@
 namespace jujubecove {
 namespace {
 
+// Only until the first watch after the listing is answered.
+constexpr Duration kRegistrationCheckInterval = std::chrono::milliseconds(200);
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
 // In a larger zone the hold-off alone decides, since announcements grow with the
 // square of the VMs that start together.
@@ -16,12 +18,13 @@
                      const QuotaOptions& options,
                      DaemonEntry own,
                      QuotaTransport& transport,
-                     QuotaMetrics& metrics)
+                     QuotaMetrics& metrics,
+                     OwnershipGuard::ViewConfirmed view_confirmed)
     : timers_(timers),
       own_(std::move(own)),
       transport_(transport),
       map_(own_.vm, own_.zone, own_.incarnation),
-      guard_(timers),
+      guard_(timers, std::move(view_confirmed)),
       owner_(timers, options, map_, guard_),
       client_(timers, options, map_, owner_, transport, metrics) {}
 
@@ -32,13 +35,30 @@
 
 void QuotaNode::OnFleetChanged(const FleetDirectory& fleet) {
   map_.Update(fleet);
-  std::vector<DaemonEntry> peers = map_.ZonePeers();
   if (!map_.is_registered())
     guard_.OnUnregistered();
   else if (guard_.is_registered())
-    guard_.OnPeersChanged(peers);
-  else
-    guard_.OnRegistered(peers);
+    guard_.OnPeersChanged(map_.ZonePeers());
+  else if (!listed_at_)
+    CheckRegistration();
+  owner_.OnOwnersChanged();
+}
+
+void QuotaNode::CheckRegistration() {
+  if (!map_.is_registered() || guard_.is_registered()) {
+    listed_at_.reset();
+    return;
+  }
+  TimePoint confirmed = guard_.view_confirmed();
+  if (!listed_at_ && confirmed == TimePoint::min())
+    listed_at_ = timers_.NowWithSuspension();
+  if (listed_at_ && confirmed <= *listed_at_) {
+    timers_.ScheduleAfter(kRegistrationCheckInterval,
+                          [this] { CheckRegistration(); });
+    return;
+  }
+  listed_at_.reset();
+  guard_.OnRegistered(map_.ZonePeers());
   owner_.OnOwnersChanged();
   Announce();
 }
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <string>
+#include <optional>
 
 #include "quota/quota_client.h"
 
@@ -15,12 +15,11 @@
             const QuotaOptions& options,
             DaemonEntry own,
             QuotaTransport& transport,
-            QuotaMetrics& metrics);
+            QuotaMetrics& metrics,
+            OwnershipGuard::ViewConfirmed view_confirmed);
 
   void SetTable(const RouteTablePtr& table);
   void OnFleetChanged(const FleetDirectory& fleet);
-  // See StoreWatcher::confirmed_at().
-  void SetViewConfirmed(TimePoint time) { guard_.SetViewConfirmed(time); }
   // Another VM of the zone has registered.
   void OnAnnounced(const DaemonEntry& entry);
   // Grants nothing from here on; requests are still decided on.
@@ -30,6 +29,9 @@
   QuotaOwner& owner() { return owner_; }
 
  private:
+  // Takes note that this process is registered once all VMs that registered
+  // before it are known.
+  void CheckRegistration();
   // Announces this VM to those that have not acknowledged it, and repeats that.
   void Announce();
 
@@ -41,6 +43,9 @@
   QuotaOwner owner_;
   QuotaClient client_;
   bool announcing_ = false;
+  // When the own registration was read as a part of a listing, whose other parts
+  // may be older.
+  std::optional<TimePoint> listed_at_;
 };
 
 }  // namespace jujubecove
--- a/src/quota/quota_service.cc
+++ b/src/quota/quota_service.cc
@@ -17,14 +17,18 @@
                            const QuotaOptions& options,
                            DaemonEntry own,
                            FleetDirectory& fleet,
-                           ViewConfirmed view_confirmed)
+                           OwnershipGuard::ViewConfirmed view_confirmed)
     : timers_(environment.timers),
       log_(environment.log),
       options_(options),
       metrics_(environment.registry),
       transport_(environment.client),
-      node_(environment.timers, options, std::move(own), transport_, metrics_),
-      view_confirmed_(std::move(view_confirmed)) {
+      node_(environment.timers,
+            options,
+            std::move(own),
+            transport_,
+            metrics_,
+            std::move(view_confirmed)) {
   if (!options_.enabled())
     return;
   fleet.Subscribe([this, &fleet] { node_.OnFleetChanged(fleet); });
@@ -48,7 +52,6 @@
   std::optional<TokenRequest> request = DecodeTokenRequest(call.body);
   if (!request)
     return {kStatusBadRequest, "{}"};
-  node_.SetViewConfirmed(view_confirmed_());
   return {.body = EncodeTokenGrant(node_.owner().Grant(*request))};
 }
 
@@ -64,7 +67,6 @@
   std::optional<TokenRequest> request = DecodeTokenRequest(call.body);
   if (!request)
     return {kStatusBadRequest, "{}"};
-  node_.SetViewConfirmed(view_confirmed_());
   QuotaOwner::PartState state = node_.owner().StateOf(request->workspace);
   boost::json::object object{{"owner", state.owner},
                              {"confirmed", state.confirmed},
@@ -94,7 +96,6 @@
     Next next) {
   if (!IsLimited(*request))
     return next(std::move(request), std::move(done));
-  node_.SetViewConfirmed(view_confirmed_());
   auto wait = std::make_shared<QuotaWait>(node_.client(), *request->workspace,
                                           std::move(done));
   QuotaWaiterId waiter = node_.client().Submit(
@@ -111,8 +112,7 @@
         }));
       });
   wait->set_waiter(waiter);
-  // Without a run, an admitted request has been answered.
-  return waiter == QuotaWaiterId() && !wait->run() ? nullptr : wait;
+  return wait->ended() ? nullptr : wait;
 }
 
 CallerAnswer QuotaService::Refuse(const ForwardedRequest& request,
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -20,9 +20,6 @@
   // Handles an admitted request, as IngressHost::Submit does.
   using Next = std::function<std::shared_ptr<PendingRequest>(ForwardedRequestPtr,
                                                              AnswerHandler)>;
-  // Returns StoreWatcher::confirmed_at().
-  using ViewConfirmed = std::function<TimePoint()>;
-
   struct Environment {
     TimerService& timers;
     PeerServer& server;
@@ -35,7 +32,7 @@
                const QuotaOptions& options,
                DaemonEntry own,
                FleetDirectory& fleet,
-               ViewConfirmed view_confirmed);
+               OwnershipGuard::ViewConfirmed view_confirmed);
 
   void SetTable(const RouteTablePtr& table);
   void Stop() { node_.Stop(); }
@@ -60,7 +57,6 @@
   QuotaMetrics metrics_;
   PeerQuotaTransport transport_;
   QuotaNode node_;
-  ViewConfirmed view_confirmed_;
   RouteTablePtr table_;
 };
 
--- a/src/quota/quota_wait.h
+++ b/src/quota/quota_wait.h
@@ -23,9 +23,8 @@
   void Finish(CallerAnswer answer);
   // The request was admitted and is handled by `run`, or has been answered if
   // that is null.
-  void set_run(std::shared_ptr<PendingRequest> run) { run_ = std::move(run); }
+  void set_run(std::shared_ptr<PendingRequest> run);
   bool ended() const { return ended_; }
-  std::shared_ptr<PendingRequest> run() const { return run_; }
 
   void Abandon() override;
   void RefuseIfNotRun() override;
@@ -39,7 +38,9 @@
   WorkspaceName workspace_;
   RequestRun::AnswerHandler done_;
   QuotaWaiterId waiter_;
+  // Refers back to this by its answer handler, so it is released at the end.
   std::shared_ptr<PendingRequest> run_;
+  bool passed_on_ = false;
   bool ended_ = false;
 };
 
