--- a/tests/unit/quota/simulated_fleet.h
+++ b/tests/unit/quota/simulated_fleet.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/random.h"
@@ -79,7 +80,7 @@
     Vm& own_;
   };
 
-  struct Vm {
+  struct Vm : std::enable_shared_from_this<Vm> {
     explicit Vm(FakeTimerService& world) : clock(world) {}
     VmClock clock;
     DaemonEntry entry;
@@ -210,7 +211,7 @@
       bool ended = false;
     };
     auto pending = std::make_shared<Pending>(Pending{std::move(done)});
-    std::shared_ptr<Vm> caller = vms_.at(from.entry.vm.value());
+    std::shared_ptr<Vm> caller = from.shared_from_this();
     auto finish = [caller, pending](T value) {
       caller->clock.Run([caller, pending, value] {
         if (caller->alive && !std::exchange(pending->ended, true))
