--- a/src/ctl/platform_commands.cc
+++ b/src/ctl/platform_commands.cc
@@ -46,30 +46,33 @@
   return items;
 }
 
-// Asks every entry daemon for its part of the workspace's rate limit. By VM; null
-// for a daemon that did not answer.
+// Asks every entry daemon for its part of the workspace's rate limit. By VM;
+// null for a daemon that did not answer.
 std::map<VmId, boost::json::value> ReadQuotaStates(
     const std::vector<DaemonEntry>& daemons,
     const WorkspaceName& workspace) {
   boost::asio::io_context context;
   AsioTimerService timers(context);
-  std::string body = boost::json::serialize(boost::json::object{
-      {"workspace", workspace.value()}, {"needed", 0}, {"ahead", 0}});
+  std::string body = boost::json::serialize(
+      boost::json::object{{"workspace", workspace.value()},
+                          {"vm", ""},
+                          {"needed", 0},
+                          {"ahead", 0}});
   std::map<VmId, boost::json::value> states;
   std::vector<std::unique_ptr<HttpClient>> clients;
   std::size_t answered = 0;
   for (const DaemonEntry& it : daemons) {
     clients.push_back(std::make_unique<HttpClient>(
         context, timers, *it.peer_address, kMaxStateBytes));
-    clients.back()->Call(
-        "POST", kQuotaStatePath, body, kCallTimeout,
-        [&, vm = it.vm](const HttpExchange& exchange) {
-          ++answered;
-          boost::system::error_code ec;
-          states[vm] = exchange.reply
-                           ? boost::json::parse(exchange.reply->body, ec)
-                           : boost::json::value();
-        });
+    clients.back()->Call("POST", kQuotaStatePath, body, kCallTimeout,
+                         [&, vm = it.vm](const HttpExchange& exchange) {
+                           ++answered;
+                           boost::system::error_code ec;
+                           states[vm] = exchange.reply
+                                            ? boost::json::parse(
+                                                  exchange.reply->body, ec)
+                                            : boost::json::value();
+                         });
   }
   while (answered < daemons.size())
     context.run_one();
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -185,12 +185,11 @@
     done(RefusalWhileStopping());
     return nullptr;
   }
-  return quota_.Submit(std::move(request), std::move(done),
-                       [this](ForwardedRequestPtr admitted,
-                              RequestRun::AnswerHandler handler) {
-                         return dispatcher_.Submit(std::move(admitted),
-                                                   std::move(handler));
-                       });
+  return quota_.Submit(
+      std::move(request), std::move(done),
+      [this](ForwardedRequestPtr admitted, RequestRun::AnswerHandler handler) {
+        return dispatcher_.Submit(std::move(admitted), std::move(handler));
+      });
 }
 
 bool FrontDaemon::IsPastCutoff() const {
--- a/src/quota/owner_map.h
+++ b/src/quota/owner_map.h
@@ -30,13 +30,14 @@
   // A VM has announced itself before its registration was read here.
   void AddAnnounced(const DaemonEntry& entry);
 
-  // One owner for each zone, that of the own zone first. The order of the others
-  // depends on the own VM, so that the VMs spread their calls.
+  // One owner for each zone, that of the own zone first. The order of the
+  // others depends on the own VM, so that the VMs spread their calls.
   const std::vector<QuotaOwnerVm>& OwnersOf(const WorkspaceName& workspace);
   bool IsOwner(const WorkspaceName& workspace);
   // The most zones that were seen at once. Each owner has an equal part of a
   // limit; the parts of the others don't grow when a zone is gone.
   int zone_count() const { return zone_count_; }
+  const VmId& own_vm() const { return own_vm_; }
   // Whether the registration of this process is among those taken over.
   bool is_registered() const { return registered_; }
   // The other VMs of the own zone.
--- a/src/quota/ownership_guard.h
+++ b/src/quota/ownership_guard.h
@@ -12,8 +12,8 @@
 
 // Decides whether this VM can be sure that no other VM of its zone believes to
 // be the owner of the same workspaces. It can if every VM that was registered
-// before it knows it, or grants nothing in full any more because it has not read
-// the store for too long; and if it has itself read the store recently.
+// before it knows it, or grants nothing in full any more because it has not
+// read the store for too long; and if it has itself read the store recently.
 //
 // A VM that starts announces itself to the VMs of its zone, and is sure as soon
 // as all of them have acknowledged that, mostly within milliseconds. A VM that
@@ -33,8 +33,8 @@
   OwnershipGuard(TimerService& timers, ViewConfirmed view_confirmed)
       : timers_(timers), view_confirmed_(std::move(view_confirmed)) {}
 
-  // This process has read its own registration; `peers` are the other VMs of its
-  // zone that are registered.
+  // This process has read its own registration; `peers` are the other VMs of
+  // its zone that are registered.
   void OnRegistered(const std::vector<DaemonEntry>& peers);
   // The registration is gone, for example because its lease has expired.
   void OnUnregistered();
--- a/src/quota/peer_quota_transport.cc
+++ b/src/quota/peer_quota_transport.cc
@@ -1,9 +1,9 @@
 #include "quota/peer_quota_transport.h"
 
+#include <algorithm>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <algorithm>
 #include <utility>
 
 namespace jujubecove {
@@ -69,6 +69,7 @@
 
 std::string EncodeTokenRequest(const TokenRequest& request) {
   boost::json::object object{{"workspace", request.workspace.value()},
+                             {"vm", request.vm.value()},
                              {"needed", request.needed},
                              {"ahead", request.ahead}};
   return boost::json::serialize(object);
@@ -79,20 +80,20 @@
   if (!object)
     return std::nullopt;
   std::optional<std::string> workspace = Text(*object, "workspace");
+  std::optional<std::string> vm = Text(*object, "vm");
   std::optional<std::int64_t> needed = Integer(*object, "needed", kMaxTokens);
   std::optional<std::int64_t> ahead = Integer(*object, "ahead", kMaxTokens);
-  if (!workspace || !needed || !ahead)
+  if (!workspace || !vm || !needed || !ahead)
     return std::nullopt;
-  return TokenRequest{WorkspaceName(*workspace), static_cast<int>(*needed),
-                      static_cast<int>(*ahead)};
+  return TokenRequest{WorkspaceName(*workspace), VmId(*vm),
+                      static_cast<int>(*needed), static_cast<int>(*ahead)};
 }
 
 std::string EncodeTokenGrant(const TokenGrant& grant) {
-  boost::json::object object{{"granted", grant.granted},
-                             {"owner", grant.owner ? 1 : 0},
-                             {"next_us", std::min<std::int64_t>(
-                                             grant.next.count(),
-                                             kMaxNextMicros)}};
+  boost::json::object object{
+      {"granted", grant.granted},
+      {"owner", grant.owner ? 1 : 0},
+      {"next_us", std::min<std::int64_t>(grant.next.count(), kMaxNextMicros)}};
   return boost::json::serialize(object);
 }
 
@@ -102,7 +103,8 @@
     return std::nullopt;
   std::optional<std::int64_t> granted = Integer(*object, "granted", kMaxTokens);
   std::optional<std::int64_t> owner = Integer(*object, "owner", 1);
-  std::optional<std::int64_t> next = Integer(*object, "next_us", kMaxNextMicros);
+  std::optional<std::int64_t> next =
+      Integer(*object, "next_us", kMaxNextMicros);
   if (!granted || !owner || !next)
     return std::nullopt;
   return TokenGrant{static_cast<int>(*granted), *owner == 1, Duration(*next)};
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -14,11 +14,12 @@
 constexpr Duration kLateAfter = milliseconds(20);
 // A request waits at most this long for an owner that is late.
 constexpr Duration kGiveUpAfter = milliseconds(80);
-// An owner that was late is not asked for this time, doubled each time in a row.
+// An owner that was late is not asked for this time, doubled each time in a
+// row.
 constexpr Duration kMinSilence = milliseconds(500);
 constexpr int kMaxSilenceDoublings = 4;
-// An owner without tokens is asked again after at most this time, because others
-// may not use what it promised them.
+// An owner without tokens is asked again after at most this time, because
+// others may not use what it promised them.
 constexpr Duration kMaxEmpty = milliseconds(500);
 // A VM whose view of the fleet differs takes this time to see the same.
 constexpr Duration kNotOwnerPause = milliseconds(250);
@@ -72,11 +73,9 @@
 }
 
 int QuotaClient::TokensAhead(const State& state) const {
-  double expected =
-      state.demand * ToSeconds(options_.token_lifetime()) / 2.0;
-  return expected < kMinAhead
-             ? 0
-             : std::min(static_cast<int>(expected), kMaxAhead);
+  double expected = state.demand * ToSeconds(options_.token_lifetime()) / 2.0;
+  return expected < kMinAhead ? 0
+                              : std::min(static_cast<int>(expected), kMaxAhead);
 }
 
 bool QuotaClient::TakeToken(State& state) {
@@ -116,9 +115,8 @@
     AskOwner(workspace, state, *owner);
     ServeWaiters(state);
   }
-  bool hoping =
-      state.waiters.empty() ||
-      std::any_of(state.asks.begin(), state.asks.end(),
+  bool hoping = state.waiters.empty() ||
+                std::any_of(state.asks.begin(), state.asks.end(),
                             [](const Ask& it) { return !it.given_up; });
   if (!hoping)
     RefuseWaiters(state);
@@ -146,7 +144,8 @@
 void QuotaClient::AskOwner(const WorkspaceName& workspace,
                            State& state,
                            const QuotaOwnerVm& owner) {
-  TokenRequest request{workspace, static_cast<int>(state.waiters.size()),
+  TokenRequest request{workspace, map_.own_vm(),
+                       static_cast<int>(state.waiters.size()),
                        TokensAhead(state)};
   TimePoint asked = timers_.NowWithSuspension();
   if (owner.self) {
@@ -157,13 +156,13 @@
   std::uint64_t id = next_id_++;
   state.asks.push_back({id, owner.vm, request.needed});
   metrics_.CountCall();
-  timers_.ScheduleAfter(
-      kLateAfter, [this, workspace, id] { OnAskLate(workspace, id); });
-  transport_.Ask(owner, request,
-                 [this, workspace, id,
-                  asked](const std::optional<TokenGrant>& grant) {
-                   OnReply(workspace, id, asked, grant);
-                 });
+  timers_.ScheduleAfter(kLateAfter,
+                        [this, workspace, id] { OnAskLate(workspace, id); });
+  transport_.Ask(
+      owner, request,
+      [this, workspace, id, asked](const std::optional<TokenGrant>& grant) {
+        OnReply(workspace, id, asked, grant);
+      });
 }
 
 QuotaClient::Ask* QuotaClient::FindAsk(State& state, std::uint64_t ask_id) {
@@ -181,9 +180,9 @@
   ask->late = true;
   metrics_.CountLateCall();
   NoteSilence(ask->owner);
-  timers_.ScheduleAfter(
-      kGiveUpAfter - kLateAfter,
-      [this, workspace, ask_id] { OnAskGivenUp(workspace, ask_id); });
+  timers_.ScheduleAfter(kGiveUpAfter - kLateAfter, [this, workspace, ask_id] {
+    OnAskGivenUp(workspace, ask_id);
+  });
   Pump(workspace, state);
 }
 
@@ -227,9 +226,9 @@
     state.empty_until[owner] = now + kNotOwnerPause;
     return;
   }
+  metrics_.CountGranted(grant.granted);
   if (grant.granted > 0) {
-    state.tokens.push_back(
-        {asked + options_.token_lifetime(), grant.granted});
+    state.tokens.push_back({asked + options_.token_lifetime(), grant.granted});
   }
   if (grant.granted >= needed) {
     state.empty_until.erase(owner);
@@ -243,8 +242,7 @@
 
 void QuotaClient::NoteSilence(const VmId& owner) {
   Silence& silence = silent_[owner];
-  silence.until =
-      timers_.Now() + kMinSilence * (1 << silence.failures);
+  silence.until = timers_.Now() + kMinSilence * (1 << silence.failures);
   silence.failures = std::min(silence.failures + 1, kMaxSilenceDoublings);
 }
 
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -24,10 +24,11 @@
   Duration waited{};
 };
 
-// Decides on this VM whether a workspace's request is admitted. It spends tokens
-// that the workspace's owners have granted: it asks the owner in its own zone
-// first, and the next one if that has no token left or does not answer, so that
-// a workspace whose few callers all meet one VM gets its whole limit there.
+// Decides on this VM whether a workspace's request is admitted. It spends
+// tokens that the workspace's owners have granted: it asks the owner in its own
+// zone first, and the next one if that has no token left or does not answer, so
+// that a workspace whose few callers all meet one VM gets its whole limit
+// there.
 //
 // What was told about a workspace is remembered until the time that the owner
 // named, so that requests far beyond the limit are refused at once and without
--- a/src/quota/quota_metrics.cc
+++ b/src/quota/quota_metrics.cc
@@ -12,7 +12,7 @@
           "requests of rate-limited workspaces that got a token")),
       refused_{},
       granted_(registry.AddCounter("jujubecove_quota_granted_total",
-                                   "tokens granted to other VMs and this one")),
+                                   "tokens that this VM got from owners")),
       expired_(registry.AddCounter("jujubecove_quota_expired_total",
                                    "tokens that expired unused")),
       calls_(registry.AddCounter("jujubecove_quota_calls_total",
--- a/src/quota/quota_node.cc
+++ b/src/quota/quota_node.cc
@@ -8,8 +8,8 @@
 // Only until the first watch after the listing is answered.
 constexpr Duration kRegistrationCheckInterval = std::chrono::milliseconds(200);
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
-// In a larger zone the hold-off alone decides, since announcements grow with the
-// square of the VMs that start together.
+// In a larger zone the hold-off alone decides, since announcements grow with
+// the square of the VMs that start together.
 constexpr std::size_t kMaxAnnounced = 64;
 
 }  // namespace
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -43,8 +43,8 @@
   QuotaOwner owner_;
   QuotaClient client_;
   bool announcing_ = false;
-  // When the own registration was read as a part of a listing, whose other parts
-  // may be older.
+  // When the own registration was read as a part of a listing, whose other
+  // parts may be older.
   std::optional<TimePoint> listed_at_;
 };
 
--- a/src/quota/quota_options.h
+++ b/src/quota/quota_options.h
@@ -21,9 +21,8 @@
   // tokens that were granted in a span that is longer by this much, which the
   // overage allows.
   Duration token_lifetime() const {
-    return Duration(
-        static_cast<Duration::rep>(static_cast<double>(window.count()) *
-                                   overage));
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(window.count()) * overage));
   }
 };
 
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -44,8 +44,7 @@
   if (workspace == nullptr || workspace->rate_per_second <= 0.0)
     return nullptr;
   TimePoint now = timers_.Now();
-  bool owned =
-      !stopped_ && guard_.is_registered() && map_.IsOwner(name);
+  bool owned = !stopped_ && guard_.is_registered() && map_.IsOwner(name);
   auto it = parts_.find(name);
   if (!owned) {
     if (it != parts_.end())
@@ -69,17 +68,23 @@
   return &part;
 }
 
-Duration QuotaOwner::PromiseNext(Part& part, int missing) {
+Duration QuotaOwner::PromiseNext(Part& part, const VmId& vm, int missing) {
   TimePoint now = timers_.Now();
   Duration first = part.bucket.TimeUntil(1.0, now);
   if (first == Duration::max())
     return kNoTokenWait;
+  std::erase_if(part.promises,
+                [now](const auto& it) { return it.second <= now; });
+  auto it = part.promises.find(vm);
+  if (it != part.promises.end())
+    return std::max(it->second - now, first);
   TimePoint promised = std::max(now + first, part.promised_until);
   promised = std::min(promised, now + first + kMaxPromise);
   double seconds = missing / part.bucket.rate_per_second();
   part.promised_until =
       promised + std::min(Duration(static_cast<Duration::rep>(seconds * 1e6)),
                           kMaxPromise);
+  part.promises[vm] = promised;
   return promised - now;
 }
 
@@ -90,15 +95,16 @@
   TimePoint now = timers_.Now();
   double level = std::max(part->bucket.Level(now), 0.0);
   TokenGrant grant;
-  grant.granted =
-      std::min(request.needed, static_cast<int>(std::floor(level)));
+  grant.granted = std::min(request.needed, static_cast<int>(std::floor(level)));
   double spare = (level - grant.granted) * kAheadShare;
   if (grant.granted == request.needed)
     grant.granted += std::min(request.ahead, static_cast<int>(spare));
   part->bucket.Take(grant.granted, now);
+  if (grant.granted > 0)
+    part->promises.erase(request.vm);
   part->granted += static_cast<std::uint64_t>(grant.granted);
   if (grant.granted < request.needed)
-    grant.next = PromiseNext(*part, request.needed - grant.granted);
+    grant.next = PromiseNext(*part, request.vm, request.needed - grant.granted);
   return grant;
 }
 
--- a/src/quota/quota_owner.h
+++ b/src/quota/quota_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <unordered_map>
 
 #include "quota/owner_map.h"
@@ -13,6 +14,8 @@
 // What a VM asks an owner for.
 struct TokenRequest {
   WorkspaceName workspace;
+  // The VM that asks.
+  VmId vm;
   // Requests that wait for a token.
   int needed = 0;
   // Tokens for requests that are expected while they are valid.
@@ -63,8 +66,10 @@
  private:
   struct Part {
     TokenBucket bucket;
-    // When all tokens that were promised to VMs are there.
+    // When all tokens that were promised to VMs are there, and when the VMs
+    // that have not got theirs yet were told to ask again.
     TimePoint promised_until{};
+    std::map<VmId, TimePoint> promises;
     std::uint64_t granted = 0;
     // Whether this VM has owned the workspace since the bucket was started.
     bool owned = false;
@@ -74,7 +79,7 @@
   Part* Refresh(const WorkspaceName& workspace);
   // The share of the zone's part that may be granted now.
   double SafeShare(const Workspace& workspace) const;
-  Duration PromiseNext(Part& part, int missing);
+  Duration PromiseNext(Part& part, const VmId& vm, int missing);
 
   TimerService& timers_;
   QuotaOptions options_;
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -18,8 +18,9 @@
  public:
   using AnswerHandler = RequestRun::AnswerHandler;
   // Handles an admitted request, as IngressHost::Submit does.
-  using Next = std::function<std::shared_ptr<PendingRequest>(ForwardedRequestPtr,
-                                                             AnswerHandler)>;
+  using Next =
+      std::function<std::shared_ptr<PendingRequest>(ForwardedRequestPtr,
+                                                    AnswerHandler)>;
   struct Environment {
     TimerService& timers;
     PeerServer& server;
--- a/src/quota/token_bucket.cc
+++ b/src/quota/token_bucket.cc
@@ -47,8 +47,8 @@
     return Duration(0);
   if (tokens > capacity_ || rate_ * kMaxSeconds < missing)
     return Duration::max();
-  return Duration(
-      static_cast<Duration::rep>(missing / rate_ * kMicroseconds) + 1);
+  return Duration(static_cast<Duration::rep>(missing / rate_ * kMicroseconds) +
+                  1);
 }
 
 }  // namespace jujubecove
--- a/tests/unit/quota/quota_decision_test.cc
+++ b/tests/unit/quota/quota_decision_test.cc
@@ -63,7 +63,9 @@
   // The VM that owns the workspace in the zone of `vm`.
   int OwnerNear(const std::string& workspace, int vm) {
     for (int n = vm % kZones; n < kVms; n += kZones) {
-      if (fleet_.Get(Name(n)).node->owner().StateOf(WorkspaceName(workspace))
+      if (fleet_.Get(Name(n))
+              .node->owner()
+              .StateOf(WorkspaceName(workspace))
               .owner)
         return n;
     }
--- a/tests/unit/quota/quota_fleet_test.cc
+++ b/tests/unit/quota/quota_fleet_test.cc
@@ -56,7 +56,8 @@
     for (std::size_t to = 0; to < times.size(); ++to) {
       while (times[to] - times[from] > kOptions.window)
         ++from;
-      Limit limit = HighestSince(workspace, times[from] - seconds(1), times[to]);
+      Limit limit =
+          HighestSince(workspace, times[from] - seconds(1), times[to]);
       double bound = (limit.rate * 5.0 + limit.burst) * 1.1 + kOptions.slack;
       worst = std::max(worst, static_cast<double>(to - from + 1) - bound);
     }
@@ -99,11 +100,11 @@
   }
   void Send(const std::string& workspace, int count) {
     for (int n = 0; n < count && !fleet_.vms().empty(); ++n) {
-      fleet_.Request(workspace, AnyVm(), [this, workspace](
-                                             const QuotaDecision& it) {
-        if (it.admitted)
-          admitted_[workspace].push_back(fleet_.Now());
-      });
+      fleet_.Request(workspace, AnyVm(),
+                     [this, workspace](const QuotaDecision& it) {
+                       if (it.admitted)
+                         admitted_[workspace].push_back(fleet_.Now());
+                     });
     }
   }
   void Restart(const std::string& name, bool graceful) {
--- a/tests/unit/quota/simulated_fleet.h
+++ b/tests/unit/quota/simulated_fleet.h
@@ -24,9 +24,8 @@
   TimePoint Now() const override { return world_.Now() - suspended_; }
   TimePoint NowWithSuspension() const override { return world_.Now(); }
   TimerId ScheduleAt(TimePoint when, std::function<void()> callback) override {
-    return world_.ScheduleAt(when + suspended_, [this, callback] {
-      Run(callback);
-    });
+    return world_.ScheduleAt(when + suspended_,
+                             [this, callback] { Run(callback); });
   }
   void Cancel(TimerId id) override { world_.Cancel(id); }
 
--- a/tests/unit/quota/token_bucket_test.cc
+++ b/tests/unit/quota/token_bucket_test.cc
@@ -38,7 +38,8 @@
         R"({"granted":1e300,"owner":1,"next_us":0})",
         R"({"granted":1,"owner":2,"next_us":0})"})
     EXPECT_FALSE(DecodeTokenGrant(it)) << it;
-  EXPECT_FALSE(DecodeTokenRequest(R"({"workspace":7,"needed":1,"ahead":0})"));
+  EXPECT_FALSE(
+      DecodeTokenRequest(R"({"workspace":7,"vm":"a","needed":1,"ahead":0})"));
   EXPECT_FALSE(DecodeAnnouncement(R"({"vm":"a","zone":"b","peers":"x"})"));
 }
 
