Start the buckets of a workspace before its first request

A bucket was started by the first call for its tokens, so a workspace that had sent nothing for 20 s got 1 token of an owner in place of 11 (RestartedOwnerStartsWithoutTheBurst). Owners now start their buckets when the fleet or the configuration has changed.

--- a/src/quota/owner_map.cc
+++ b/src/quota/owner_map.cc
@@ -7,6 +7,13 @@
 #include "base/hash.h"
 
 namespace jujubecove {
+namespace {
+
+std::uint64_t ScoreOf(const WorkspaceName& workspace, const VmId& vm) {
+  return Hash64(vm.value(), Hash64(workspace.value()));
+}
+
+}  // namespace
 
 OwnerMap::OwnerMap(VmId own_vm,
                    ZoneName own_zone,
@@ -42,6 +49,7 @@
     zones.insert(entry.zone);
   zone_count_ = std::max(zone_count_, static_cast<int>(zones.size()));
   owners_.clear();
+  owned_.clear();
 }
 
 const std::vector<QuotaOwnerVm>& OwnerMap::OwnersOf(
@@ -53,8 +61,16 @@
 }
 
 bool OwnerMap::IsOwner(const WorkspaceName& workspace) {
-  const std::vector<QuotaOwnerVm>& owners = OwnersOf(workspace);
-  return !owners.empty() && owners.front().self;
+  auto [it, added] = owned_.try_emplace(workspace, false);
+  if (!added || !daemons_.contains(own_vm_))
+    return it->second;
+  std::uint64_t own_score = ScoreOf(workspace, own_vm_);
+  it->second =
+      std::none_of(daemons_.begin(), daemons_.end(), [&](const auto& other) {
+        return other.second.zone == own_zone_ &&
+               ScoreOf(workspace, other.first) > own_score;
+      });
+  return it->second;
 }
 
 std::vector<DaemonEntry> OwnerMap::ZonePeers() const {
@@ -70,7 +86,7 @@
     const WorkspaceName& workspace) const {
   std::map<ZoneName, std::pair<std::uint64_t, const DaemonEntry*>> best;
   for (const auto& [vm, entry] : daemons_) {
-    std::uint64_t score = Hash64(vm.value(), Hash64(workspace.value()));
+    std::uint64_t score = ScoreOf(workspace, vm);
     auto [it, added] = best.try_emplace(entry.zone, score, &entry);
     if (!added && score > it->second.first)
       it->second = {score, &entry};
--- a/src/quota/owner_map.h
+++ b/src/quota/owner_map.h
@@ -56,6 +56,7 @@
   std::map<VmId, DaemonEntry> daemons_;
   std::map<VmId, DaemonEntry> announced_;
   std::unordered_map<WorkspaceName, std::vector<QuotaOwnerVm>> owners_;
+  std::unordered_map<WorkspaceName, bool> owned_;
 };
 
 }  // namespace jujubecove
--- a/src/quota/quota_node.cc
+++ b/src/quota/quota_node.cc
@@ -7,6 +7,8 @@
 
 // Only until the first watch after the listing is answered.
 constexpr Duration kRegistrationCheckInterval = std::chrono::milliseconds(200);
+// Joins the changes of VMs that start or stop together.
+constexpr Duration kStartDelay = std::chrono::milliseconds(200);
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
 // In a larger zone the hold-off alone decides, since announcements grow with
 // the square of the VMs that start together.
@@ -31,6 +33,7 @@
 void QuotaNode::SetTable(const RouteTablePtr& table) {
   owner_.SetTable(table);
   client_.SetTable(*table);
+  StartBucketsSoon();
 }
 
 void QuotaNode::OnFleetChanged(const FleetDirectory& fleet) {
@@ -42,6 +45,17 @@
   else if (!listed_at_)
     CheckRegistration();
   owner_.OnOwnersChanged();
+  StartBucketsSoon();
+}
+
+void QuotaNode::StartBucketsSoon() {
+  if (starting_buckets_)
+    return;
+  starting_buckets_ = true;
+  timers_.ScheduleAfter(kStartDelay, [this] {
+    starting_buckets_ = false;
+    owner_.StartBuckets();
+  });
 }
 
 void QuotaNode::CheckRegistration() {
@@ -60,6 +74,9 @@
   listed_at_.reset();
   guard_.OnRegistered(map_.ZonePeers());
   owner_.OnOwnersChanged();
+  StartBucketsSoon();
+  timers_.ScheduleAfter(OwnershipGuard::kHoldOff,
+                        [this] { StartBucketsSoon(); });
   Announce();
 }
 
@@ -76,8 +93,11 @@
   announcing_ = true;
   for (const auto& [vm, entry] : peers) {
     transport_.Announce(entry, own_, [this, vm = vm](bool acknowledged) {
-      if (acknowledged)
-        guard_.OnAcknowledged(vm);
+      if (!acknowledged)
+        return;
+      guard_.OnAcknowledged(vm);
+      if (guard_.unacknowledged().empty())
+        StartBucketsSoon();
     });
   }
   timers_.ScheduleAfter(kAnnounceInterval, [this] {
--- a/src/quota/quota_node.h
+++ b/src/quota/quota_node.h
@@ -32,6 +32,8 @@
   // Takes note that this process is registered once all VMs that registered
   // before it are known.
   void CheckRegistration();
+  // Starts the buckets soon, together with those of the next changes.
+  void StartBucketsSoon();
   // Announces this VM to those that have not acknowledged it, and repeats that.
   void Announce();
 
@@ -43,6 +45,7 @@
   QuotaOwner owner_;
   QuotaClient client_;
   bool announcing_ = false;
+  bool starting_buckets_ = false;
   // When the own registration was read as a part of a listing, whose other
   // parts may be older.
   std::optional<TimePoint> listed_at_;
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -30,6 +30,13 @@
     part.owned = part.owned && guard_.is_registered() && map_.IsOwner(name);
 }
 
+void QuotaOwner::StartBuckets() {
+  if (!table_)
+    return;
+  for (const Workspace& it : table_->config().workspaces)
+    Refresh(it.name);
+}
+
 double QuotaOwner::SafeShare(const Workspace& workspace) const {
   if (guard_.IsConfirmed())
     return 1.0;
--- a/src/quota/quota_owner.h
+++ b/src/quota/quota_owner.h
@@ -47,6 +47,10 @@
   void SetTable(RouteTablePtr table);
   // The VMs of the map have changed.
   void OnOwnersChanged();
+  // Starts the buckets of all workspaces that this VM owns, so that they fill
+  // before their first request. Takes a hash for each workspace and VM of the
+  // zone.
+  void StartBuckets();
   // Grants nothing from here on, because the process stops.
   void Stop() { stopped_ = true; }
 
