--- a/tests/standin/platform_searcher.cc
+++ b/tests/standin/platform_searcher.cc
@@ -71,7 +71,7 @@
                           std::string(request_.target()), request_.body()});
       }
       response_.set(platform::kResponseStamp, state_->id + "." + id);
-      response_.body() = RecordsOf(state_->id);
+      response_.body() = state_->body ? *state_->body : RecordsOf(state_->id);
       timers_.ScheduleAfter(state_->service_time,
                             [self = shared_from_this()] { self->Reply(); });
     }
--- a/tests/standin/platform_searcher.h
+++ b/tests/standin/platform_searcher.h
@@ -57,6 +57,8 @@
     state_->heartbeat = 0;
     state_->leaving = false;
   }
+  // The body of every reply from now on.
+  void set_body(std::string body) { state_->body = std::move(body); }
   // While set, requests run but their connections are closed without a reply.
   void set_losing_replies(bool losing) { state_->losing_replies = losing; }
   // Port to register instead of port(), for instance that of a proxy.
@@ -70,7 +72,7 @@
   const std::string& service() const { return state_->service; }
   int runs() const { return state_->runs; }
   int arrivals() const { return state_->arrivals; }
-  // The body of every reply of this searcher.
+  // The body of every reply of this searcher, unless another one was set.
   static std::string RecordsOf(const std::string& searcher);
 
  private:
@@ -81,6 +83,7 @@
     Duration service_time = std::chrono::milliseconds(5);
     bool refusing = false;
     bool losing_replies = false;
+    std::optional<std::string> body;
     std::function<void(const SearcherRun&)> observer;
     std::optional<std::string> push_back;
     std::atomic<bool> leaving = false;
