Limit the memory and descriptors of all callers together

CallerMemory counts what all connections buffer (a quarter of the memory, vm.caller_memory_share). Over it, unread answers of 2 s, then the largest incomplete requests, then other unsent answers are given up; requests in progress and small connections never. Readiness, metrics and the peer address have shares of the descriptors; at its limit a server closes the longest waiting connection or waits, and without free descriptors it reduces its limit.

--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 #include <csignal>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/random.h"
@@ -14,8 +15,9 @@
 
 constexpr std::size_t kLogBufferBytes = 256U << 10U;
 constexpr Duration kLogFlushInterval = milliseconds(100);
-constexpr std::size_t kOperationsConnections = 64;
-constexpr std::size_t kPeerConnections = 1024;
+// Memory that a caller's connection may take also when that of all connections
+// is used up: an ordinary request fits.
+constexpr std::size_t kMinMemoryPerConnection = 8192;
 // The balancer checks readiness every second and removes a VM after two failed
 // checks.
 constexpr Duration kBalancerRemovalTime = milliseconds(2400);
@@ -32,6 +34,12 @@
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
 constexpr int kStatusOk = 200;
 
+// Half of an equal share.
+std::size_t MemoryPerConnection(const FrontConfig& config) {
+  return std::max(config.max_caller_memory / (2 * config.max_connections + 1),
+                  kMinMemoryPerConnection);
+}
+
 void SetLogLevels(LogLevel level) {
   for (int n = 0; n < kLogCategoryCount; ++n)
     SetLogLevel(static_cast<LogCategory>(n), level);
@@ -63,24 +71,33 @@
                  log_,
                  {OwnEntry(), config_.store_watch_wait, SystemSeed()},
                  DiscoveryCallbacks()),
+      caller_memory_(timers_,
+                     config_.max_caller_memory,
+                     MemoryPerConnection(config_)),
       operations_host_(
           [this](const std::string& path) { return AnswerOperations(path); }),
       caller_server_(context_,
                      timers_,
                      *this,
                      caller_protocol_,
-                     config_.max_connections),
+                     config_.max_connections,
+                     &caller_memory_),
       readiness_server_(context_,
                         timers_,
                         operations_host_,
                         operations_protocol_,
-                        kOperationsConnections),
+                        config_.max_operations_connections,
+                        &caller_memory_),
       metrics_server_(context_,
                       timers_,
                       operations_host_,
                       operations_protocol_,
-                      kOperationsConnections),
-      peer_server_(context_, timers_, kPeerConnections),
+                      config_.max_operations_connections,
+                      &caller_memory_),
+      peer_server_(context_,
+                   timers_,
+                   config_.max_peer_connections,
+                   &caller_memory_),
       peer_client_(context_, timers_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   dispatcher_.SetLeavingHandler([this](const SearcherEntry& entry) {
@@ -194,6 +211,12 @@
       .Add("reason", reason);
 }
 
+void FrontDaemon::OnConnectionDropped(const std::string& reason) {
+  DecisionLine(log_, LogCategory::kFrontend, DecisionPriority::kNotable,
+               "caller_dropped", timers_.Now())
+      .Add("reason", reason);
+}
+
 CallerAnswer FrontDaemon::AnswerOperations(const std::string& path) {
   CallerAnswer answer;
   answer.status = kStatusOk;
@@ -225,6 +248,10 @@
   state.unreachable_zones = dispatcher_.unreachable_zones();
   state.store_connected = discovery_.IsStoreConnected();
   state.caller_connections = caller_server_.connections();
+  state.callers_displaced = caller_server_.displaced();
+  state.caller_memory = caller_memory_.used();
+  state.requests_refused_for_memory = caller_memory_.refused();
+  state.answers_dropped_for_memory = caller_memory_.dropped();
   state.log_lines_left_out = log_.left_out() + sink_.dropped();
   state.egress = transport_.stats();
   state.store_calls = discovery_.store_calls();
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -44,6 +44,7 @@
     return draining_ || dispatcher_.IsImpaired();
   }
   void OnRequestRejected(ErrorKind kind, const std::string& reason) override;
+  void OnConnectionDropped(const std::string& reason) override;
 
  private:
   DiscoveryClient::Callbacks DiscoveryCallbacks();
@@ -81,6 +82,7 @@
   HttpSearcherTransport transport_;
   Dispatcher dispatcher_;
   DiscoveryClient discovery_;
+  CallerMemory caller_memory_;
   OperationsProtocol operations_protocol_;
   OperationsHost operations_host_;
   IngressServer caller_server_;
--- a/src/front/front_metrics.cc
+++ b/src/front/front_metrics.cc
@@ -28,6 +28,18 @@
                                          "1 while the store is reachable.")),
       caller_connections_(registry.AddGauge("jujubecove_caller_connections",
                                             "Open connections of callers.")),
+      callers_displaced_(registry.AddGauge(
+          "jujubecove_caller_connections_displaced",
+          "Waiting connections of callers closed to make room.")),
+      caller_memory_(registry.AddGauge(
+          "jujubecove_caller_memory_bytes",
+          "Requests and unsent answers on all connections of callers.")),
+      requests_refused_for_memory_(registry.AddGauge(
+          "jujubecove_caller_memory_requests_refused",
+          "Incomplete requests refused to make room in this memory.")),
+      answers_dropped_for_memory_(registry.AddGauge(
+          "jujubecove_caller_memory_answers_dropped",
+          "Unread answers dropped to make room in this memory.")),
       log_lines_left_out_(registry.AddGauge("jujubecove_log_lines_left_out",
                                             "Log lines dropped.")),
       connections_opened_(
@@ -60,6 +72,10 @@
   set(unreachable_zones_, state.unreachable_zones);
   set(store_connected_, state.store_connected ? 1 : 0);
   set(caller_connections_, state.caller_connections);
+  set(callers_displaced_, state.callers_displaced);
+  set(caller_memory_, state.caller_memory);
+  set(requests_refused_for_memory_, state.requests_refused_for_memory);
+  set(answers_dropped_for_memory_, state.answers_dropped_for_memory);
   set(log_lines_left_out_, state.log_lines_left_out);
   set(connections_opened_, state.egress.connections_opened);
   set(connects_failed_, state.egress.connects_failed);
--- a/src/front/front_metrics.h
+++ b/src/front/front_metrics.h
@@ -17,6 +17,10 @@
   int unreachable_zones = 0;
   bool store_connected = false;
   std::size_t caller_connections = 0;
+  std::uint64_t callers_displaced = 0;
+  std::size_t caller_memory = 0;
+  std::uint64_t requests_refused_for_memory = 0;
+  std::uint64_t answers_dropped_for_memory = 0;
   std::uint64_t log_lines_left_out = 0;
   EgressStats egress;
   StoreCallStats store_calls;
@@ -36,6 +40,10 @@
   Gauge& unreachable_zones_;
   Gauge& store_connected_;
   Gauge& caller_connections_;
+  Gauge& callers_displaced_;
+  Gauge& caller_memory_;
+  Gauge& requests_refused_for_memory_;
+  Gauge& answers_dropped_for_memory_;
   Gauge& log_lines_left_out_;
   Gauge& connections_opened_;
   Gauge& connects_failed_;
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -25,7 +25,9 @@
      .default_value = 1024,
      .accepted = {.min = 64, .max = 10'000'000},
      .doc = "Maximum number of open file descriptors. Half of them are for "
-            "caller connections."});
+            "caller connections, at most an eighth for connections of other "
+            "entry daemons, and at most a sixteenth each for readiness and "
+            "metrics."});
 
 const Setting<double> kMemory(
     {.section = "vm",
@@ -36,6 +38,15 @@
      .doc = "Memory of this process. Replies of searchers that are being "
             "received take at most an eighth of it."});
 
+const Setting<double> kCallerMemoryShare(
+    {.section = "vm",
+     .key = "caller_memory_share",
+     .default_value = 0.25,
+     .accepted = {.min = 0.01, .max = 0.9},
+     .doc = "Share of the memory for requests that are read or in progress and "
+            "for unsent answers, on all connections. Over it, the largest "
+            "incomplete requests are refused and unread answers dropped."});
+
 const Setting<SocketAddress> kCallers(
     {.section = "listen",
      .key = "callers",
@@ -154,8 +165,12 @@
 // Allows for late timers and the transfer of the reply.
 constexpr Duration kWatchMargin = milliseconds(200);
 constexpr Duration kMinWatchWait = milliseconds(200);
-// Half of the descriptors are for searchers, the store and files.
+// Shares of the descriptors. The rest is for searchers, the store and files.
 constexpr std::int64_t kDescriptorsPerCallerConnection = 2;
+constexpr std::int64_t kDescriptorsPerPeerConnection = 8;
+constexpr std::int64_t kDescriptorsPerOperationsConnection = 16;
+constexpr std::int64_t kMaxPeerConnections = 1024;
+constexpr std::int64_t kMaxOperationsConnections = 64;
 constexpr double kReplyMemoryShare = 0.125;
 constexpr double kBytesPerMegabyte = 1048576.0;
 
@@ -164,7 +179,8 @@
 const SettingsSchema& FrontSchema() {
   static const SettingsSchema kSchema = {
       {.type = "vm",
-       .settings = {&kVmId, &kZone, &kMaxDescriptors, &kMemory},
+       .settings = {&kVmId, &kZone, &kMaxDescriptors, &kMemory,
+                    &kCallerMemoryShare},
        .doc = "The VM."},
       {.type = "listen",
        .settings = {&kCallers, &kReadiness, &kMetrics, &kPeers, &kQueries},
@@ -204,6 +220,15 @@
   config.drain_grace = seconds(settings.Get(kDrainGrace));
   config.max_connections = static_cast<std::size_t>(
       settings.Get(kMaxDescriptors) / kDescriptorsPerCallerConnection);
+  config.max_peer_connections = static_cast<std::size_t>(
+      std::min(settings.Get(kMaxDescriptors) / kDescriptorsPerPeerConnection,
+               kMaxPeerConnections));
+  config.max_operations_connections = static_cast<std::size_t>(std::min(
+      settings.Get(kMaxDescriptors) / kDescriptorsPerOperationsConnection,
+      kMaxOperationsConnections));
+  config.max_caller_memory =
+      static_cast<std::size_t>(settings.Get(kMemory) * kBytesPerMegabyte *
+                               settings.Get(kCallerMemoryShare));
   config.max_reply_memory = static_cast<std::size_t>(
       settings.Get(kMemory) * kBytesPerMegabyte * kReplyMemoryShare);
   config.log_lines_per_second =
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -27,6 +27,11 @@
   // Time from the stop signal until the process is killed.
   Duration drain_grace{};
   std::size_t max_connections = 0;
+  // For each of readiness and metrics, and for other entry daemons.
+  std::size_t max_operations_connections = 64;
+  std::size_t max_peer_connections = 1024;
+  // Limit on the requests and answers of callers that are buffered.
+  std::size_t max_caller_memory = std::size_t{128} << 20U;
   // Limit on the replies of searchers that are being received.
   std::size_t max_reply_memory = std::size_t{64} << 20U;
   int log_lines_per_second = 0;
--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -1,9 +1,6 @@
 #include "ingress/ingress_connection.h"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/status.hpp>
 #include <utility>
 
 #include "http/parser_input.h"
@@ -15,12 +12,10 @@
 using boost::system::error_code;
 
 // Bytes of pipelined requests that are buffered while one runs.
-constexpr std::size_t kMaxPipelinedBytes = 65536;
+constexpr std::size_t kMaxPipelinedBytes = 8192;
 // Room for the parts that a parser takes as a whole: the header, the head of a
 // chunk with its extensions, and the trailers.
 constexpr std::size_t kUnparsedReserve = 4096;
-// Time for the caller to close after the last answer of a connection.
-constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
 
@@ -32,6 +27,13 @@
   return ErrorKind::kBadRequest;
 }
 
+std::size_t BytesOf(const ForwardedRequest& request) {
+  std::size_t bytes = request.target.size();
+  for (const HeaderField& it : request.headers)
+    bytes += it.name.size() + it.value.size();
+  return bytes + (request.body ? request.body->size() : 0);
+}
+
 }  // namespace
 
 IngressConnection::IngressConnection(
@@ -39,14 +41,21 @@
     TimerService& timers,
     IngressHost& host,
     const CallerProtocol& protocol,
+    CallerMemory* memory,
     std::function<void(IngressConnection*)> closed)
     : socket_(std::move(socket)),
       timers_(timers),
       host_(host),
       protocol_(protocol),
+      memory_(memory),
       closed_(std::move(closed)),
       last_progress_(timers.Now()) {}
 
+IngressConnection::~IngressConnection() {
+  if (memory_ != nullptr)
+    memory_->Remove(*this);
+}
+
 void IngressConnection::Start() {
   error_code ignored;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -61,20 +70,39 @@
   if (run_)
     run_->Abandon();
   run_ = nullptr;
+  // A pending handler may keep the closed connection for longer.
+  if (memory_ != nullptr)
+    memory_->Remove(*this);
+  memory_ = nullptr;
+  parser_.reset();
   error_code ignored;
   socket_.close(ignored);
   closed_(this);
 }
 
+bool IngressConnection::IsReading() const {
+  switch (state_) {
+    case State::kReading:
+      return true;
+    case State::kRunning:
+      return buffer_.size() < kMaxPipelinedBytes;
+    case State::kWriting:
+      return lingering_;
+    case State::kClosed:
+      break;
+  }
+  return false;
+}
+
 void IngressConnection::AwaitReadable() {
-  if (awaiting_readable_ || state_ == State::kClosed)
+  if (awaiting_readable_ || !IsReading())
     return;
   awaiting_readable_ = true;
   std::shared_ptr<IngressConnection> self = shared_from_this();
   socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
                      [self](const error_code&) {
                        self->awaiting_readable_ = false;
-                       if (self->state_ != State::kClosed)
+                       if (self->IsReading())
                          self->Read();
                      });
 }
@@ -107,11 +135,8 @@
     Reject(ErrorKind::kHeaderTooLarge, "a part of the request is too long");
     return;
   }
-  // A caller that pipelines too much is not read from until its answer has
-  // been written.
-  if (state_ == State::kReading ||
-      (state_ != State::kClosed && buffer_.size() < kMaxPipelinedBytes))
-    AwaitReadable();
+  UpdateMemory();
+  AwaitReadable();
 }
 
 bool IngressConnection::HasUnreadBytes() const {
@@ -213,7 +238,13 @@
     return;
   }
   request_id_ = request.value().id;
+  running_bytes_ = BytesOf(request.value());
+  UpdateMemory();
+  // The request may have been refused to make room.
+  if (state_ != State::kReading)
+    return;
   state_ = State::kRunning;
+  UpdateMemory();
   std::weak_ptr<IngressConnection> self = weak_from_this();
   run_ = host_.Submit(
       std::make_shared<const ForwardedRequest>(std::move(request.value())),
@@ -226,93 +257,13 @@
     run_ = nullptr;
 }
 
-void IngressConnection::Reject(ErrorKind kind, const std::string& reason) {
-  host_.OnRequestRejected(kind, reason);
-  CallerAnswer answer;
-  answer.error = kind;
-  answer.reason = reason;
-  Answer(std::move(answer), false);
-}
-
-void IngressConnection::Answer(CallerAnswer answer, bool keep_alive) {
-  run_ = nullptr;
-  Write(protocol_.EncodeAnswer(std::move(answer), request_id_),
-        keep_alive && !host_.ClosesConnections());
-}
-
-void IngressConnection::Write(IngressAnswer answer, bool keep_alive) {
-  state_ = State::kWriting;
-  auto status = static_cast<http::status>(answer.status);
-  head_out_ = "HTTP/1.1 " + std::to_string(answer.status) + " ";
-  head_out_ += http::obsolete_reason(status);
-  head_out_ += "\r\n";
-  for (const HeaderField& it : answer.headers)
-    head_out_ += it.name + ": " + it.value + "\r\n";
-  bool has_body = answer.status != 204 && answer.status != 304;
-  if (has_body && !head_only_) {
-    head_out_ +=
-        "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
-  }
-  if (!keep_alive)
-    head_out_ += "Connection: close\r\n";
-  head_out_ += "\r\n";
-  body_out_ = has_body && !head_only_ ? std::move(answer.body) : std::string();
-  std::array<boost::asio::const_buffer, 2> buffers = {
-      boost::asio::buffer(head_out_), boost::asio::buffer(body_out_)};
-  std::shared_ptr<IngressConnection> self = shared_from_this();
-  last_progress_ = timers_.Now();
-  boost::asio::async_write(
-      socket_, buffers, [self, keep_alive](const error_code& ec, std::size_t) {
-        if (self->state_ != State::kClosed)
-          self->OnWritten(ec, keep_alive);
-      });
-}
-
-void IngressConnection::OnWritten(const error_code& ec, bool keep_alive) {
-  last_progress_ = timers_.Now();
-  if (ec) {
+void IngressConnection::CheckTimeouts(TimePoint now) {
+  const IngressLimits& limits = host_.limits();
+  if (state_ == State::kRunning && !awaiting_readable_ && HasPeerClosed()) {
     Close();
     return;
   }
-  if (!keep_alive) {
-    Linger();
-    return;
-  }
-  state_ = State::kReading;
-  ParseBuffered();
-  AwaitReadable();
-}
-
-// Closing a socket with unread bytes resets the connection, and the caller
-// could lose the answer. So the caller gets time to close first.
-void IngressConnection::Linger() {
-  lingering_ = true;
-  buffer_.clear();
-  error_code ignored;
-  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-  std::weak_ptr<IngressConnection> self = weak_from_this();
-  timers_.ScheduleAfter(kLingerTimeout, [self] {
-    if (std::shared_ptr<IngressConnection> connection = self.lock())
-      connection->Close();
-  });
-  AwaitReadable();
-}
-
-void IngressConnection::RefuseIfNotRun() {
-  // The answer releases run_.
-  if (std::shared_ptr<PendingRequest> run = run_)
-    run->RefuseIfNotRun();
-}
-
-void IngressConnection::EndNow() {
-  if (std::shared_ptr<PendingRequest> run = run_)
-    run->EndNow();
-  else if (state_ == State::kReading && parser_)
-    Reject(ErrorKind::kShuttingDown, kStoppingReason);
-}
-
-void IngressConnection::CheckTimeouts(TimePoint now) {
-  const IngressLimits& limits = host_.limits();
+  UpdateMemory();
   if (state_ == State::kWriting && !lingering_ &&
       now - last_progress_ > limits.idle_timeout) {
     Close();
--- a/src/ingress/ingress_host.h
+++ b/src/ingress/ingress_host.h
@@ -24,6 +24,8 @@
   // next request goes to another VM.
   virtual bool ClosesConnections() const = 0;
   virtual void OnRequestRejected(ErrorKind kind, const std::string& reason) = 0;
+  // A connection was closed although its caller had not closed it.
+  virtual void OnConnectionDropped(const std::string& /*reason*/) {}
 };
 
 }  // namespace jujubecove
--- a/src/ingress/ingress_server.cc
+++ b/src/ingress/ingress_server.cc
@@ -1,5 +1,6 @@
 #include "ingress/ingress_server.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -15,6 +16,11 @@
 // Delay after a failed accept, for example with too many open descriptors.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
+// A caller that reads takes its answer within this time.
+constexpr Duration kAnswerReadTime = std::chrono::seconds(2);
+// The limit on connections is not reduced below this.
+constexpr std::size_t kMinConnections = 16;
+
 Error ListenError(const SocketAddress& address, const error_code& ec) {
   return Error{ErrorKind::kInternal,
                "can't listen on " + address.ToString() + ": " + ec.message()};
@@ -26,12 +32,14 @@
                              TimerService& timers,
                              IngressHost& host,
                              const CallerProtocol& protocol,
-                             std::size_t max_connections)
+                             std::size_t max_connections,
+                             CallerMemory* memory)
     : context_(context),
       timers_(timers),
       host_(host),
       protocol_(protocol),
       max_connections_(max_connections),
+      memory_(memory),
       acceptor_(context) {}
 
 Result<void> IngressServer::Listen(const SocketAddress& address) {
@@ -59,40 +67,75 @@
     if (!acceptor_.is_open())
       return;
     if (ec) {
-      JJ_LOG(kFrontend, WARNING) << "accept failed: " << ec.message();
-      timers_.ScheduleAfter(kAcceptRetryDelay, [this] { Accept(); });
+      OnAcceptFailed(ec);
       return;
     }
-    Add(std::move(socket));
-    Accept();
+    waiting_.emplace(std::move(socket));
+    Admit();
   });
 }
 
+// Without free descriptors, the daemon could not accept or connect any more.
+// What is closed beyond one connection is left to searchers and the store.
+void IngressServer::OnAcceptFailed(const error_code& ec) {
+  JJ_LOG(kFrontend, WARNING) << "accept failed with " << connections_.size()
+                             << " connections: " << ec.message();
+  if (ec == boost::asio::error::no_descriptors ||
+      ec == boost::system::errc::too_many_files_open_in_system) {
+    max_connections_ =
+        std::min(max_connections_,
+                 std::max(connections_.size() - connections_.size() / 8,
+                          kMinConnections));
+    while (connections_.size() > max_connections_ && CloseLongestWaiting()) {
+    }
+  }
+  timers_.ScheduleAfter(kAcceptRetryDelay, [this] { Accept(); });
+}
+
+void IngressServer::Admit() {
+  if (!waiting_ || !acceptor_.is_open())
+    return;
+  if (connections_.size() >= max_connections_ && !CloseLongestWaiting()) {
+    timers_.ScheduleAfter(kAcceptRetryDelay, [this] { Admit(); });
+    return;
+  }
+  Add(std::move(*waiting_));
+  waiting_.reset();
+  Accept();
+}
+
 void IngressServer::Add(tcp::socket socket) {
-  if (connections_.size() >= max_connections_)
-    CloseLongestWaiting();
   std::shared_ptr<IngressConnection> connection =
       std::make_shared<IngressConnection>(
-          std::move(socket), timers_, host_, protocol_,
+          std::move(socket), timers_, host_, protocol_, memory_,
           [this](IngressConnection* closed) { connections_.erase(closed); });
   connections_.emplace(connection.get(), connection);
   connection->Start();
 }
 
-void IngressServer::CloseLongestWaiting() {
+bool IngressServer::CloseLongestWaiting() {
   std::shared_ptr<IngressConnection> oldest;
+  TimePoint now = timers_.Now();
   for (const auto& [key, it] : connections_) {
-    if (it->IsWaitingForCaller() &&
-        (!oldest || it->idle_since() < oldest->idle_since()))
+    bool waits = it->IsWaitingForCaller() ||
+                 (it->IsWriting() && now - it->idle_since() >= kAnswerReadTime);
+    if (waits && (!oldest || it->idle_since() < oldest->idle_since()))
       oldest = it;
   }
-  if (oldest)
-    oldest->Close();
+  if (!oldest)
+    return false;
+  ++displaced_;
+  host_.OnConnectionDropped("too many connections");
+  oldest->Close();
+  return true;
 }
 
 // Closing the listening socket would reset the connections in its queue,
 // although their callers may have sent a request.
 void IngressServer::AcceptQueued() {
+  if (waiting_)
+    Add(std::move(*waiting_));
+  waiting_.reset();
   error_code ec;
   acceptor_.non_blocking(true, ec);
   for (std::size_t n = 0; n < max_connections_ && !ec; ++n) {
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -37,9 +37,10 @@
 
 PeerServer::PeerServer(boost::asio::io_context& context,
                        TimerService& timers,
-                       std::size_t max_connections)
+                       std::size_t max_connections,
+                       CallerMemory* memory)
     : limits_{kMaxHeaderBytes, kMaxBodyBytes, kHeaderTimeout, kIdleTimeout},
-      server_(context, timers, *this, protocol_, max_connections) {}
+      server_(context, timers, *this, protocol_, max_connections, memory) {}
 
 void PeerServer::Handle(const std::string& path, Handler handler) {
   handlers_[path] = std::move(handler);
@@ -49,8 +50,9 @@
   return server_.Listen(address);
 }
 
-std::shared_ptr<PendingRequest> PeerServer::Submit(ForwardedRequestPtr request,
-                                               RequestRun::AnswerHandler done) {
+std::shared_ptr<PendingRequest> PeerServer::Submit(
+    ForwardedRequestPtr request,
+    RequestRun::AnswerHandler done) {
   std::size_t mark = request->target.find('?');
   PeerRequest call;
   call.path = request->target.substr(0, mark);
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -32,14 +32,16 @@
 
   PeerServer(boost::asio::io_context& context,
              TimerService& timers,
-             std::size_t max_connections);
+             std::size_t max_connections,
+             CallerMemory* memory = nullptr);
 
   void Handle(const std::string& path, Handler handler);
   Result<void> Listen(const SocketAddress& address);
 
   const IngressLimits& limits() const override { return limits_; }
-  std::shared_ptr<PendingRequest> Submit(ForwardedRequestPtr request,
-                                     RequestRun::AnswerHandler done) override;
+  std::shared_ptr<PendingRequest> Submit(
+      ForwardedRequestPtr request,
+      RequestRun::AnswerHandler done) override;
   bool ClosesConnections() const override { return false; }
   void OnRequestRejected(ErrorKind kind, const std::string& reason) override;
 
