--- a/src/ingress/caller_memory.cc
+++ b/src/ingress/caller_memory.cc
@@ -1,10 +1,14 @@
 #include "ingress/caller_memory.h"
 
+#include <malloc.h>
+
 namespace jujubecove {
 namespace {
 
 // A caller that reads takes its answer within this time.
 constexpr Duration kAnswerReadTime = std::chrono::seconds(2);
+// Share of the limit that is reclaimed between two trims of the heap.
+constexpr std::size_t kTrimsPerLimit = 8;
 
 }  // namespace
 
@@ -56,9 +60,21 @@
 
 void CallerMemory::Reclaim(Claims::const_iterator victim) {
   Holder* holder = victim->first;
+  std::size_t bytes = victim->second.bytes;
   ++(victim->second.use == Use::kRequest ? refused_ : dropped_);
   Remove(*holder);
   holder->OnReclaimed();
+  Trim(bytes);
+}
+
+// The heap keeps freed blocks between used ones, which for the bodies of many
+// connections is a multiple of what is in use.
+void CallerMemory::Trim(std::size_t reclaimed_bytes) {
+  untrimmed_ += reclaimed_bytes;
+  if (untrimmed_ < max_bytes_ / kTrimsPerLimit)
+    return;
+  untrimmed_ = 0;
+  malloc_trim(0);
 }
 
 }  // namespace jujubecove
--- a/src/ingress/caller_memory.h
+++ b/src/ingress/caller_memory.h
@@ -56,11 +56,14 @@
   // Returns the claim to give up next, if any can be.
   Claims::const_iterator ChooseVictim() const;
   void Reclaim(Claims::const_iterator victim);
+  // Returns freed memory to the system after enough was reclaimed.
+  void Trim(std::size_t reclaimed_bytes);
 
   TimerService& timers_;
   std::size_t max_bytes_;
   std::size_t floor_;
   std::size_t used_ = 0;
+  std::size_t untrimmed_ = 0;
   std::uint64_t refused_ = 0;
   std::uint64_t dropped_ = 0;
   Claims claims_;
