Take only final statuses for replies of searchers

A status under 200 was taken for an interim reply and waited out (504 after the whole time), also 000, 099, 101 and 199 with a body; 600 and above went to the caller. Now the exchange ends as broken at the end of such a head. Interim replies 100 and 102 to 199 have no length or chunks and are still skipped.

--- a/src/ctl/http_fetch.cc
+++ b/src/ctl/http_fetch.cc
@@ -9,6 +9,9 @@
 #include <boost/beast/http/write.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <string>
+#include <utility>
 
 #include "settings/socket_address.h"
 
@@ -19,6 +22,9 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
+constexpr int kMaxInterimReplies = 8;
+
 // The asynchronous steps of one call, with one timeout for all of them.
 class Exchange {
  public:
@@ -30,7 +36,6 @@
       request_.set(name, value);
     request_.body() = call.body;
     request_.prepare_payload();
-    parser_.body_limit(64ULL * 1024 * 1024);
     stream_.expires_after(call.timeout);
   }
 
@@ -41,8 +46,7 @@
       http::async_write(stream_, request_, [this](error_code ec, std::size_t) {
         if (Failed(ec))
           return;
-        http::async_read(stream_, buffer_, parser_,
-                         [this](error_code ec, std::size_t) { OnReply(ec); });
+        Read();
       });
     });
   }
@@ -56,16 +60,34 @@
     return ec.failed();
   }
 
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxBodyBytes);
+    http::async_read(stream_, buffer_, *parser_,
+                     [this](error_code ec, std::size_t) { OnReply(ec); });
+  }
+
   void OnReply(error_code ec) {
     if (Failed(ec))
       return;
-    reply.status = parser_.get().result_int();
-    reply.body = std::move(parser_.get().body());
+    unsigned status = parser_->get().result_int();
+    bool is_interim = status >= 100 && status < 200 && status != 101;
+    if (is_interim && ++interim_replies_ <= kMaxInterimReplies) {
+      Read();
+      return;
+    }
+    if (status < 200 || status > 599) {
+      reply.error = "invalid reply with status " + std::to_string(status);
+      return;
+    }
+    reply.status = status;
+    reply.body = std::move(parser_->get().body());
   }
 
   boost::beast::tcp_stream stream_;
   http::request<http::string_body> request_;
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  int interim_replies_ = 0;
   boost::beast::flat_buffer buffer_;
 };
 
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -21,8 +21,24 @@
 constexpr std::size_t kExchangeBytesPerBodyByte = 2;
 // Servers have no reason to send more of them for one request.
 constexpr int kMaxInterimReplies = 8;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstInterim = 100;
+constexpr unsigned kFirstFinal = 200;
+constexpr unsigned kLastFinal = 599;
 constexpr int kMaxSkippedReplies = 4;
 
+// Whether the head is that of a final reply, or of an interim one, which has no
+// body. No request asks for another protocol.
+template <typename Header>
+bool IsValidHead(const Header& header) {
+  unsigned status = header.result_int();
+  if (status >= kFirstFinal)
+    return status <= kLastFinal;
+  return status >= kFirstInterim && status != kSwitchingProtocols &&
+         header.count(http::field::content_length) == 0 &&
+         header.count(http::field::transfer_encoding) == 0;
+}
+
 std::optional<Duration> ParseKeepAliveTimeout(std::string_view value) {
   constexpr std::string_view kKey = "timeout=";
   std::size_t at = value.find(kKey);
@@ -170,9 +186,16 @@
       StartParser();
     if (!CanParse(*parser_, buffer_.size()))
       return;
+    bool had_head = parser_->is_header_done();
     error_code ec;
     std::size_t used = parser_->put(buffer_.data(), ec);
     buffer_.consume(used);
+    if (!had_head && parser_->is_header_done() &&
+        !IsValidHead(parser_->get())) {
+      FailExchange("invalid reply with status " +
+                   std::to_string(parser_->get().result_int()));
+      return;
+    }
     if (ec == http::error::need_more)
       return;
     if (ec) {
@@ -204,9 +227,8 @@
 }
 
 void ClientConnection::OnReplyComplete() {
-  constexpr int kFirstFinalStatus = 200;
   WireReply reply = TakeReply();
-  if (reply.status < kFirstFinalStatus) {
+  if (reply.status < static_cast<int>(kFirstFinal)) {
     ++interim_replies_;
     return;
   }
--- a/src/upstream/reply_reader.cc
+++ b/src/upstream/reply_reader.cc
@@ -145,7 +145,7 @@
 void ReplyReader::Parser::on_response_impl(int code, View, int, Error& ec) {
   // The protocol has no interim replies; one would be taken for the final
   // reply.
-  if (code < 200)
+  if (code < 200 || code > 599)
     ec = http::error::bad_status;
   reply_.status = static_cast<unsigned>(code);
 }
--- a/tests/unit/upstream/reply_reader_test.cc
+++ b/tests/unit/upstream/reply_reader_test.cc
@@ -70,5 +70,21 @@
   EXPECT_EQ(reader.state(), ReadState::kInvalid);
 }
 
+// Guards against a status that is none, which is taken for a reply.
+TEST(ReplyReaderTest, OnlyFinalStatusesAreReplies) {
+  for (int status = 0; status < 1000; ++status) {
+    std::string digits = std::to_string(status);
+    digits.insert(0, 3 - digits.size(), '0');
+    std::string reply = GoodReply(SampleRequest(1));
+    reply.replace(reply.find("200"), 3, digits);
+    ReplyReader reader;
+    reader.Feed(reply.data(), reply.size());
+    bool is_final = status >= 200 && status <= 599;
+    EXPECT_EQ(reader.state(),
+              is_final ? ReadState::kComplete : ReadState::kInvalid)
+        << digits;
+  }
+}
+
 }  // namespace
 }  // namespace jujubecove
