--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -47,6 +47,8 @@
 struct SettingsSource {
   SettingsSource(std::string file, std::vector<std::string> values = {})
       : path(std::move(file)), overrides(std::move(values)) {}
+  // NOLINTNEXTLINE(google-explicit-constructor): allows a literal path.
+  SettingsSource(const char* file) : path(file) {}
 
   std::string path;
   std::vector<std::string> overrides;
