--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -47,6 +47,7 @@
     return draining_ || dispatcher_.IsImpaired();
   }
   void OnRequestRejected(ErrorKind kind, const std::string& reason) override;
+  void OnConnectionDropped(const std::string& reason) override;
 
  private:
   DiscoveryClient::Callbacks DiscoveryCallbacks();
@@ -89,6 +90,7 @@
   RequestAuthenticator authenticator_;
   Dispatcher dispatcher_;
   DiscoveryClient discovery_;
+  CallerMemory caller_memory_;
   OperationsProtocol operations_protocol_;
   OperationsHost operations_host_;
   IngressServer caller_server_;
