--- a/src/quota/quota_options.h
+++ b/src/quota/quota_options.h
@@ -4,6 +4,12 @@
 
 namespace jujubecove {
 
+// Requests that a workspace may send over all VMs together.
+struct QuotaLimit {
+  double rate_per_second = 0.0;
+  double burst = 0.0;
+};
+
 // The bound on the requests of a workspace that the whole fleet admits in any
 // sliding window: (rate * window + burst) * (1 + overage) + slack.
 struct QuotaOptions {
@@ -14,27 +20,24 @@
   double slack = 0.0;
 
   bool enabled() const { return window > Duration(0); }
-  double window_seconds() const {
-    return static_cast<double>(window.count()) / 1e6;
-  }
   // Granted tokens expire after this time. In a window are then spent only
-  // tokens that were granted in a span that is longer by this much, which the
-  // overage allows.
-  Duration token_lifetime() const {
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(window.count()) * overage));
-  }
+  // tokens that were granted in a span that is longer by this much.
+  Duration token_lifetime() const { return window / 20; }
+  // The bucket that all owners of a workspace hold together while each part has
+  // one owner. What it grants in a window and a token's lifetime is within the
+  // bound less the share kUnconfirmedSlack of the slack.
+  QuotaLimit BucketFor(const QuotaLimit& limit) const;
 };
 
-// The parts of QuotaOptions::slack. Each covers one way in which the fleet may
-// admit more than rate and burst allow.
+// Parts of QuotaOptions::slack.
 //
-// Capacity of the buckets beyond the burst, so that the parts of a small burst
+// Capacity of the bucket beyond the burst, so that the parts of a small burst
 // still hold whole tokens.
-inline constexpr double kCapacitySlack = 0.25;
-// Tokens in the buckets of owners that have just started.
-inline constexpr double kStartSlack = 0.2;
+inline constexpr double kCapacitySlack = 0.2;
+// Filling of the bucket beyond the rate: requests that the bound allows are not
+// refused, and a bucket that starts empty has its first token soon.
+inline constexpr double kRateSlack = 0.6;
 // Tokens of owners that can't rule out that another VM is owner too.
-inline constexpr double kUnconfirmedSlack = 0.45;
+inline constexpr double kUnconfirmedSlack = 0.2;
 
 }  // namespace jujubecove
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -37,13 +37,14 @@
     Refresh(it.name);
 }
 
-double QuotaOwner::SafeShare(const Workspace& workspace) const {
+double QuotaOwner::SafeShare(const QuotaLimit& bucket) const {
   if (guard_.IsConfirmed())
     return 1.0;
-  double allowed = workspace.rate_per_second * options_.window_seconds() *
-                       (1.0 + options_.overage) +
-                   workspace.burst + kCapacitySlack * options_.slack;
-  return std::min(1.0, kUnconfirmedSlack * options_.slack / allowed);
+  Duration span = options_.window + options_.token_lifetime();
+  double granted =
+      bucket.rate_per_second * static_cast<double>(span.count()) / 1e6 +
+      bucket.burst;
+  return std::min(1.0, kUnconfirmedSlack * options_.slack / granted);
 }
 
 QuotaOwner::Part* QuotaOwner::Refresh(const WorkspaceName& name) {
@@ -58,19 +59,15 @@
       it->second.owned = false;
     return nullptr;
   }
-  bool is_new = it == parts_.end();
-  Part& part = is_new ? parts_[name] : it->second;
-  double zones = map_.zone_count();
-  double share = SafeShare(*workspace) / zones;
-  part.bucket.Configure(
-      workspace->rate_per_second * share,
-      (workspace->burst + kCapacitySlack * options_.slack) * share, now);
+  Part& part = it == parts_.end() ? parts_[name] : it->second;
   // What the former owner has granted meanwhile is not known here.
-  double start = kStartSlack * options_.slack / zones;
-  if (is_new)
-    part.bucket.Add(start, now);
-  else if (!part.owned)
-    part.bucket.Limit(start, now);
+  if (!part.owned)
+    part.bucket.Limit(0.0, now);
+  QuotaLimit bucket =
+      options_.BucketFor({workspace->rate_per_second, workspace->burst});
+  double share = SafeShare(bucket) / map_.zone_count();
+  part.bucket.Configure(bucket.rate_per_second * share, bucket.burst * share,
+                        now);
   part.owned = true;
   return &part;
 }
--- a/src/quota/quota_owner.h
+++ b/src/quota/quota_owner.h
@@ -82,7 +82,7 @@
   // Returns null if this VM does not own the workspace.
   Part* Refresh(const WorkspaceName& workspace);
   // The share of the zone's part that may be granted now.
-  double SafeShare(const Workspace& workspace) const;
+  double SafeShare(const QuotaLimit& bucket) const;
   Duration PromiseNext(Part& part, const VmId& vm, int missing);
 
   TimerService& timers_;
--- a/src/quota/token_bucket.cc
+++ b/src/quota/token_bucket.cc
@@ -25,11 +25,6 @@
   updated_ = now;
 }
 
-void TokenBucket::Add(double tokens, TimePoint now) {
-  level_ = std::min(Level(now) + tokens, capacity_);
-  updated_ = now;
-}
-
 void TokenBucket::Take(double tokens, TimePoint now) {
   level_ = Level(now) - tokens;
   updated_ = now;
--- a/src/quota/token_bucket.h
+++ b/src/quota/token_bucket.h
@@ -11,8 +11,6 @@
   void Configure(double rate_per_second, double capacity, TimePoint now);
   // Sets the level to at most `level`.
   void Limit(double level, TimePoint now);
-  // Adds up to `tokens`, within the capacity.
-  void Add(double tokens, TimePoint now);
   void Take(double tokens, TimePoint now);
 
   double Level(TimePoint now) const;
