--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -40,8 +40,11 @@
 // Where settings come from: a file, and overrides of the command line
 // ("section.key=value").
 struct SettingsSource {
+  // Implicit, so that most users just name a file.
+  // NOLINTNEXTLINE(google-explicit-constructor)
   SettingsSource(std::string file, std::vector<std::string> values = {})
       : path(std::move(file)), overrides(std::move(values)) {}
+  // NOLINTNEXTLINE(google-explicit-constructor)
   SettingsSource(const char* file) : path(file) {}
 
   std::string path;
