Let two VMs of a large availability zone watch the store for the others

Change: subsystem relay. In zones with store.relay_min_vms VMs (default 16), the first two in a ranking by hash watch the store; the others poll them at listen.peers and fall back to the other reader and then to the store within the same watch. Freshness, outages and history travel with each reply. Smaller zones are served as before. Result: RelayedKvStoreTest (10 tests, one property); relay_test, discovery_test, front_test, platform_test pass.

--- a/src/discovery/discovery_client.cc
+++ b/src/discovery/discovery_client.cc
@@ -132,6 +132,8 @@
   DecisionLine(log_, LogCategory::kStore, DecisionPriority::kStateChange,
                "store_regained", timers_.Now())
       .Add("outage_ms", outage);
+  if (callbacks_.store_regained)
+    callbacks_.store_regained(outage);
   if (outage > kMaxHarmlessOutage)
     searchers_.DeferRemovalsUntil(timers_.Now() + kRemovalDelay);
 }
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -21,6 +21,8 @@
     std::function<void(RouteTablePtr)> table_changed;
     SearcherRegistry::Listener searcher_changed;
     FleetMembership::SizeListener fleet_size_changed;
+    // The store serves again after an outage. May be empty.
+    std::function<void(Duration)> store_regained;
   };
   struct Options {
     DaemonEntry own;
--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -67,7 +67,7 @@
     OnFailure(page, &StoreWatcher::List);
     return;
   }
-  OnSuccess();
+  OnSuccess(page);
   if (after.empty()) {
     listing_revision_ = page.current_revision;
     applied_revisions_.clear();
@@ -94,7 +94,7 @@
 }
 
 void StoreWatcher::WatchFor(Duration wait) {
-  StartCall(wait);
+  StartCall(store_.WatchWait(wait));
   store_.Watch(prefix_, watch_revision_, wait,
                [this](KvPage page) { OnEvents(std::move(page)); });
 }
@@ -102,7 +102,7 @@
 void StoreWatcher::OnEvents(KvPage page) {
   if (page.status == KvStatus::kCompacted) {
     ++calls_.compacted;
-    OnSuccess();
+    OnSuccess(page);
     List();
     return;
   }
@@ -110,11 +110,11 @@
     OnFailure(page, &StoreWatcher::Watch);
     return;
   }
-  OnSuccess();
+  OnSuccess(page);
   for (const KvItem& it : page.items)
     Apply(it);
   watch_revision_ = std::max(watch_revision_, page.current_revision);
-  if (page.items.empty()) {
+  if (page.items.empty() || page.is_batched) {
     Watch();
     return;
   }
@@ -144,12 +144,15 @@
   answer_due_ = call_started_ + wait;
 }
 
-void StoreWatcher::OnSuccess() {
+void StoreWatcher::OnSuccess(const KvPage& page) {
   ++calls_.served;
+  Duration outage = page.outage;
   if (was_disconnected_) {
     was_disconnected_ = false;
-    listener_.OnStoreReconnected(timers_.Now() - outage_started_);
+    outage = std::max(outage, timers_.Now() - outage_started_);
   }
+  if (outage > Duration(0))
+    listener_.OnStoreReconnected(outage);
   connected_ = true;
   consecutive_failures_ = 0;
   last_success_ = timers_.Now();
--- a/src/discovery/store_watcher.h
+++ b/src/discovery/store_watcher.h
@@ -67,7 +67,7 @@
   void Apply(const KvItem& item);
   void StartCall(Duration wait);
   void OnFailure(const KvPage& page, void (StoreWatcher::*retry)());
-  void OnSuccess();
+  void OnSuccess(const KvPage& page);
 
   TimerService& timers_;
   KvStore& store_;
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -46,6 +46,9 @@
       sink_(STDOUT_FILENO, kLogBufferBytes),
       log_(sink_, config_.vm.value(), config_.log_lines_per_second),
       store_(context_, timers_, config_.store, config_.store_call_timeout),
+      peer_client_(context_, timers_),
+      reader_link_(peer_client_),
+      relayed_store_(timers_, store_, reader_link_, log_, RelayOptions()),
       metrics_(registry_),
       transport_(context_,
                  timers_,
@@ -58,7 +61,7 @@
                   config_.dispatch,
                   SystemSeed()),
       discovery_(timers_,
-                 store_,
+                 relayed_store_,
                  codec_,
                  log_,
                  {OwnEntry(), config_.store_watch_wait, SystemSeed()},
@@ -81,11 +84,12 @@
                       operations_protocol_,
                       kOperationsConnections),
       peer_server_(context_, timers_, kPeerConnections),
-      peer_client_(context_, timers_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   dispatcher_.SetLeavingHandler([this](const SearcherEntry& entry) {
     discovery_.OnSearcherLeaving(entry);
   });
+  relayed_store_.Attach(discovery_.fleet());
+  ServeChanges(peer_server_, relayed_store_.relay());
 }
 
 DiscoveryClient::Callbacks FrontDaemon::DiscoveryCallbacks() {
@@ -104,9 +108,22 @@
                              timers_.Now())
                     .Add("daemons", size);
                 dispatcher_.SetFleetSize(size);
+              },
+          .store_regained =
+              [this](Duration outage) {
+                relayed_store_.relay().OnOutageEnded(outage);
               }};
 }
 
+RelayedKvStore::Options FrontDaemon::RelayOptions() const {
+  bool can_relay = config_.listen_peers.port != 0;
+  return {.choice = {.own = config_.vm,
+                     .zone = config_.zone,
+                     .min_daemons = can_relay ? config_.relay_min_vms : 0},
+          .reader_wait = config_.relay_reader_wait,
+          .poll_wait = config_.relay_poll_wait};
+}
+
 DaemonEntry FrontDaemon::OwnEntry() const {
   DaemonEntry entry;
   entry.vm = config_.vm;
@@ -228,6 +245,11 @@
   state.log_lines_left_out = log_.left_out() + sink_.dropped();
   state.egress = transport_.stats();
   state.store_calls = discovery_.store_calls();
+  state.relay = relayed_store_.stats();
+  state.is_store_reader = relayed_store_.is_reader();
+  state.follows_store_reader = relayed_store_.follows_reader();
+  state.store_view_age = relayed_store_.ViewAge();
+  state.relay_polls = relayed_store_.relay().polls();
   return state;
 }
 
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -19,6 +19,8 @@
 #include "platform/http_protocol.h"
 #include "platform/kv_client.h"
 #include "platform/registration_codec.h"
+#include "relay/peer_reader_link.h"
+#include "relay/relayed_kv_store.h"
 #include "telemetry/decision_log.h"
 
 namespace jujubecove {
@@ -48,6 +50,7 @@
  private:
   DiscoveryClient::Callbacks DiscoveryCallbacks();
   DaemonEntry OwnEntry() const;
+  RelayedKvStore::Options RelayOptions() const;
   CallerAnswer AnswerOperations(const std::string& path);
   void WaitForSignal();
   void Reload();
@@ -76,6 +79,9 @@
   platform::PlatformSearcherProtocol searcher_protocol_;
   platform::PlatformRegistrationCodec codec_;
   platform::PlatformKvClient store_;
+  PeerClient peer_client_;
+  PeerReaderLink reader_link_;
+  RelayedKvStore relayed_store_;
   MetricsRegistry registry_;
   FrontMetrics metrics_;
   HttpSearcherTransport transport_;
@@ -87,7 +93,6 @@
   IngressServer readiness_server_;
   IngressServer metrics_server_;
   PeerServer peer_server_;
-  PeerClient peer_client_;
   boost::asio::signal_set signals_;
   IngressLimits default_limits_;
   bool draining_ = false;
--- a/src/front/front_metrics.cc
+++ b/src/front/front_metrics.cc
@@ -9,6 +9,12 @@
                            {{"result", result}});
 }
 
+Gauge& ReaderPolls(MetricsRegistry& registry, const std::string& result) {
+  return registry.AddGauge("jujubecove_store_reader_polls",
+                           "Polls of daemons that watch the store, by result.",
+                           {{"result", result}});
+}
+
 }  // namespace
 
 FrontMetrics::FrontMetrics(MetricsRegistry& registry)
@@ -47,7 +53,25 @@
       store_served_(StoreCalls(registry, "served")),
       store_refused_(StoreCalls(registry, "refused")),
       store_unanswered_(StoreCalls(registry, "unanswered")),
-      store_compacted_(StoreCalls(registry, "compacted")) {}
+      store_compacted_(StoreCalls(registry, "compacted")),
+      store_watches_(registry.AddGauge(
+          "jujubecove_store_watches",
+          "Watches of the store that this daemon has sent itself.")),
+      reader_answers_(ReaderPolls(registry, "current")),
+      readers_declined_(ReaderPolls(registry, "declined")),
+      readers_unanswered_(ReaderPolls(registry, "unanswered")),
+      readers_without_history_(ReaderPolls(registry, "no_history")),
+      is_store_reader_(registry.AddGauge(
+          "jujubecove_store_reader",
+          "1 while this daemon watches the store for others.")),
+      follows_store_reader_(
+          registry.AddGauge("jujubecove_store_follows_reader",
+                            "1 while this daemon gets changes from a reader.")),
+      store_view_age_(
+          registry.AddGauge("jujubecove_store_view_age_seconds",
+                            "Time since the store or a reader has answered.")),
+      relay_polls_(registry.AddGauge("jujubecove_store_reader_polls_served",
+                                     "Polls of other daemons answered.")) {}
 
 void FrontMetrics::Update(const FrontState& state, TimePoint now) {
   auto set = [](Gauge& gauge, auto value) {
@@ -70,6 +94,15 @@
   set(store_refused_, state.store_calls.refused);
   set(store_unanswered_, state.store_calls.unanswered);
   set(store_compacted_, state.store_calls.compacted);
+  set(store_watches_, state.relay.store_watches);
+  set(reader_answers_, state.relay.reader_answers);
+  set(readers_declined_, state.relay.readers_declined);
+  set(readers_unanswered_, state.relay.readers_unanswered);
+  set(readers_without_history_, state.relay.readers_without_history);
+  set(is_store_reader_, state.is_store_reader ? 1 : 0);
+  set(follows_store_reader_, state.follows_store_reader ? 1 : 0);
+  set(store_view_age_, ToMilliseconds(state.store_view_age) / 1000.0);
+  set(relay_polls_, state.relay_polls);
 }
 
 }  // namespace jujubecove
--- a/src/front/front_metrics.h
+++ b/src/front/front_metrics.h
@@ -4,6 +4,7 @@
 
 #include "discovery/store_watcher.h"
 #include "egress/egress_stats.h"
+#include "relay/relayed_kv_store.h"
 #include "telemetry/metrics.h"
 
 namespace jujubecove {
@@ -20,6 +21,12 @@
   std::uint64_t log_lines_left_out = 0;
   EgressStats egress;
   StoreCallStats store_calls;
+  RelayStats relay;
+  bool is_store_reader = false;
+  bool follows_store_reader = false;
+  Duration store_view_age{};
+  // Polls of other daemons that this one has answered as a reader.
+  std::uint64_t relay_polls = 0;
 };
 
 // Gauges of the state of the process, updated when the metrics are read.
@@ -46,6 +53,15 @@
   Gauge& store_refused_;
   Gauge& store_unanswered_;
   Gauge& store_compacted_;
+  Gauge& store_watches_;
+  Gauge& reader_answers_;
+  Gauge& readers_declined_;
+  Gauge& readers_unanswered_;
+  Gauge& readers_without_history_;
+  Gauge& is_store_reader_;
+  Gauge& follows_store_reader_;
+  Gauge& store_view_age_;
+  Gauge& relay_polls_;
 };
 
 }  // namespace jujubecove
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -83,6 +83,14 @@
      .accepted = {.min = milliseconds(1500), .max = seconds(30)},
      .doc = "A silent connection to the store is detected within this time. A "
             "watch waits for the time that the call timeout leaves of it."});
+const Setting<std::int64_t> kRelayMinVms(
+    {.section = "store",
+     .key = "relay_min_vms",
+     .default_value = 16,
+     .accepted = {.min = 0, .max = 100000},
+     .doc = "In an availability zone with at least so many entry VMs, two of "
+            "them watch the store and pass changes on to the others at "
+            "listen.peers. 0 means that every VM watches the store."});
 
 const Setting<double> kRetryBudgetRatio(
     {.section = "repeats",
@@ -154,11 +162,19 @@
 // Allows for late timers and the transfer of the reply.
 constexpr Duration kWatchMargin = milliseconds(200);
 constexpr Duration kMinWatchWait = milliseconds(200);
+// Shares of the time in which a silent store is detected.
+constexpr double kReaderWaitShare = 0.3;
+constexpr double kPollWaitShare = 0.2;
 // Half of the descriptors are for searchers, the store and files.
 constexpr std::int64_t kDescriptorsPerCallerConnection = 2;
 constexpr double kReplyMemoryShare = 0.125;
 constexpr double kBytesPerMegabyte = 1048576.0;
 
+Duration Scale(Duration time, double share) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(time.count()) * share));
+}
+
 }  // namespace
 
 const SettingsSchema& FrontSchema() {
@@ -170,7 +186,7 @@
        .settings = {&kCallers, &kReadiness, &kMetrics, &kPeers, &kQueries},
        .doc = "Addresses of this process."},
       {.type = "store",
-       .settings = {&kStore, &kStoreCallTimeout, &kStoreSilence},
+       .settings = {&kStore, &kStoreCallTimeout, &kStoreSilence, &kRelayMinVms},
        .doc = "The platform's store."},
       {.type = "repeats",
        .settings = {&kRetryBudgetRatio, &kRetryBudgetSlack,
@@ -201,6 +217,10 @@
   config.store_watch_wait = std::max(
       settings.Get(kStoreSilence) - config.store_call_timeout - kWatchMargin,
       kMinWatchWait);
+  config.relay_min_vms = static_cast<int>(settings.Get(kRelayMinVms));
+  config.relay_reader_wait =
+      Scale(settings.Get(kStoreSilence), kReaderWaitShare);
+  config.relay_poll_wait = Scale(settings.Get(kStoreSilence), kPollWaitShare);
   config.drain_grace = seconds(settings.Get(kDrainGrace));
   config.max_connections = static_cast<std::size_t>(
       settings.Get(kMaxDescriptors) / kDescriptorsPerCallerConnection);
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -24,6 +24,12 @@
   SocketAddress store;
   Duration store_call_timeout{};
   Duration store_watch_wait{};
+  // Number of VMs in the zone from which on a few of them watch the store for
+  // the others. Zero means never.
+  int relay_min_vms = 0;
+  // The longest wait of a reader's watch, and of a poll of a reader.
+  Duration relay_reader_wait{};
+  Duration relay_poll_wait{};
   // Time from the stop signal until the process is killed.
   Duration drain_grace{};
   std::size_t max_connections = 0;
@@ -42,6 +48,7 @@
 struct SettingsSource {
   SettingsSource(std::string file, std::vector<std::string> values = {})
       : path(std::move(file)), overrides(std::move(values)) {}
+  SettingsSource(const char* file) : path(file) {}
 
   std::string path;
   std::vector<std::string> overrides;
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -43,6 +43,11 @@
   std::vector<KvItem> items;
   bool has_more = false;
   StoreRevision current_revision;
+  // Whether changes were collected for some time, so that the next watch need
+  // not be delayed to collect more.
+  bool is_batched = false;
+  // The store may not have served others for this time until recently.
+  Duration outage{};
 };
 
 struct KvWriteResult {
@@ -70,6 +75,8 @@
                      StoreRevision after,
                      Duration wait,
                      std::function<void(KvPage)> done) = 0;
+  // How long a watch waits that is asked to wait for `wait`.
+  virtual Duration WatchWait(Duration wait) const { return wait; }
   virtual void Put(const std::string& key,
                    const std::string& value,
                    StoreLease lease,
--- a/tests/standin/fake_kv_store.h
+++ b/tests/standin/fake_kv_store.h
@@ -57,6 +57,9 @@
   // The wait that the latest watch asked for.
   Duration last_watch_wait() const { return last_watch_wait_; }
   bool Has(const std::string& key) const { return items_.contains(key); }
+  const std::string& ValueOf(const std::string& key) const {
+    return items_.at(key).value;
+  }
 
  private:
   struct PendingWatch {
