Follow a store that comes back from an older copy

Cause: after Store-Era has risen, revisions are given out again and what was acknowledged is gone; the watcher compared revisions of both histories, and nobody registered again. Change: the era stands in every result of KvStore and in the position of a watch. The watcher lists anew in a new era, the daemon registers again, searchers missing from the copy get 2.3 s, and those that were gone come back only after 2.3 s or with a newer heartbeat. Readers pass the era on. FakeKvStore restores copies.

--- a/src/discovery/discovery_client.cc
+++ b/src/discovery/discovery_client.cc
@@ -27,14 +27,16 @@
       log_(log),
       callbacks_(std::move(callbacks)),
       searchers_(timers, callbacks_.searcher_changed),
-      fleet_(timers,
-             store,
-             codec,
-             options.own,
-             [this](int size) {
-               watcher_.set_fleet_size(size);
-               callbacks_.fleet_size_changed(size);
-             }),
+      fleet_(
+          timers,
+          store,
+          codec,
+          options.own,
+          [this](int size) {
+            watcher_.set_fleet_size(size);
+            callbacks_.fleet_size_changed(size);
+          },
+          [this](StoreEra era) { watcher_.OnEra(era); }),
       watcher_(timers, store, *this, "", options.watch_wait, options.seed) {}
 
 void DiscoveryClient::Start() {
@@ -138,4 +140,15 @@
     searchers_.DeferRemovalsUntil(timers_.Now() + kRemovalDelay);
 }
 
+// Searchers and operators write again what the copy lacks, as after an outage.
+void DiscoveryClient::OnStoreRestored(StoreEra era) {
+  DecisionLine(log_, LogCategory::kStore, DecisionPriority::kStateChange,
+               "store_restored", timers_.Now())
+      .Add("era", era.value());
+  TimePoint until = timers_.Now() + kRemovalDelay;
+  searchers_.DeferRemovalsUntil(until);
+  searchers_.DeferReturnsUntil(until);
+  fleet_.OnStoreRestored();
+}
+
 }  // namespace jujubecove
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -55,6 +55,7 @@
   void OnItem(const KvItem& item) override;
   void OnStoreDisconnected(const std::string& reason) override;
   void OnStoreReconnected(Duration outage) override;
+  void OnStoreRestored(StoreEra era) override;
 
  private:
   void OnConfig(const KvItem& item);
--- a/src/discovery/fleet_membership.cc
+++ b/src/discovery/fleet_membership.cc
@@ -25,12 +25,14 @@
                                  KvStore& store,
                                  const RegistrationCodec& codec,
                                  DaemonEntry own,
-                                 SizeListener on_size)
+                                 SizeListener on_size,
+                                 EraListener on_era)
     : timers_(timers),
       store_(store),
       codec_(codec),
       own_(std::move(own)),
-      on_size_(std::move(on_size)) {}
+      on_size_(std::move(on_size)),
+      on_era_(std::move(on_era)) {}
 
 void FleetMembership::Join() {
   joined_ = true;
@@ -42,29 +44,49 @@
     return;
   registering_ = true;
   if (lease_.value() != 0) {
-    OnLease(KvLeaseResult{KvStatus::kOk, lease_});
+    OnLease(KvLeaseResult{.status = KvStatus::kOk, .lease = lease_, .era = {}});
     return;
   }
   store_.GrantLease(kLeaseTtl, [this](KvLeaseResult lease) { OnLease(lease); });
 }
 
+void FleetMembership::NoteEra(StoreEra era) {
+  if (on_era_)
+    on_era_(era);
+}
+
+void FleetMembership::OnStoreRestored() {
+  if (!joined_)
+    return;
+  lease_ = StoreLease{};
+  register_again_ = registering_;
+  Register();
+}
+
 void FleetMembership::OnLease(KvLeaseResult lease) {
+  NoteEra(lease.era);
   if (lease.status != KvStatus::kOk || !joined_) {
     registering_ = false;
+    register_again_ = false;
     RetryLater();
     return;
   }
   lease_ = lease.lease;
   store_.Put(codec_.daemon_prefix() + own_.vm.value(),
              codec_.EncodeDaemon(own_), lease_,
-             [this](KvWriteResult write) { OnRegistered(write.status); });
+             [this](const KvWriteResult& write) { OnRegistered(write); });
 }
 
-void FleetMembership::OnRegistered(KvStatus status) {
+void FleetMembership::OnRegistered(const KvWriteResult& write) {
+  NoteEra(write.era);
   registering_ = false;
-  if (status == KvStatus::kNotFound)
+  if (write.status == KvStatus::kNotFound || register_again_)
     lease_ = StoreLease{};
-  if (status != KvStatus::kOk) {
+  if (std::exchange(register_again_, false)) {
+    Register();
+    return;
+  }
+  if (write.status != KvStatus::kOk) {
     RetryLater();
     return;
   }
@@ -76,20 +98,24 @@
 void FleetMembership::Renew() {
   if (!joined_)
     return;
-  store_.RenewLease(lease_, [this](KvStatus status) {
-    if (status == KvStatus::kNotFound) {
-      JJ_LOG(kMembership, WARNING)
-          << "the lease of this daemon has expired; registering again";
-      lease_ = StoreLease{};
-      Register();
-    } else if (status != KvStatus::kOk) {
-      JJ_LOG(kMembership, WARNING) << "failed to renew the lease of this "
-                                      "daemon; the next renewal is in time";
-    }
-  });
+  store_.RenewLease(lease_,
+                    [this](const KvLeaseResult& lease) { OnRenewed(lease); });
   timers_.ScheduleAfter(kRenewInterval, [this] { Renew(); });
 }
 
+void FleetMembership::OnRenewed(const KvLeaseResult& lease) {
+  NoteEra(lease.era);
+  if (lease.status == KvStatus::kNotFound && lease.lease == lease_) {
+    JJ_LOG(kMembership, WARNING)
+        << "the lease of this daemon has expired; registering again";
+    lease_ = StoreLease{};
+    Register();
+  } else if (lease.status != KvStatus::kOk) {
+    JJ_LOG(kMembership, WARNING) << "failed to renew the lease of this "
+                                    "daemon; the next renewal is in time";
+  }
+}
+
 void FleetMembership::RetryLater() {
   if (!joined_)
     return;
@@ -138,7 +164,7 @@
   directory_.Remove(VmId(id));
   timers_.ScheduleAfter(kCountedAfterRemoval, [this] { EvictGone(); });
   // The store may remove a registration before its lease expires.
-  if (id == own_.vm.value() && registered_) {
+  if (id == own_.vm.value() && registered_ && !registering_) {
     lease_ = StoreLease{};
     Register();
   }
--- a/src/discovery/fleet_membership.h
+++ b/src/discovery/fleet_membership.h
@@ -21,12 +21,15 @@
 class FleetMembership {
  public:
   using SizeListener = std::function<void(int)>;
+  // Called with the era of each answer of the store.
+  using EraListener = std::function<void(StoreEra)>;
 
   FleetMembership(TimerService& timers,
                   KvStore& store,
                   const RegistrationCodec& codec,
                   DaemonEntry own,
-                  SizeListener on_size);
+                  SizeListener on_size,
+                  EraListener on_era = nullptr);
 
   // Registers and keeps the registration until Leave.
   void Join();
@@ -37,6 +40,9 @@
   // is no value.
   void OnDaemonRegistration(const std::string& id,
                             const std::optional<std::string>& value);
+  // The store has come back from an older copy, in which the lease and the
+  // registration of this daemon may be missing.
+  void OnStoreRestored();
   void BeginListing();
   void EndListing();
 
@@ -46,7 +52,9 @@
  private:
   void Register();
   void OnLease(KvLeaseResult lease);
-  void OnRegistered(KvStatus status);
+  void OnRegistered(const KvWriteResult& write);
+  void OnRenewed(const KvLeaseResult& lease);
+  void NoteEra(StoreEra era);
   void Renew();
   void RetryLater();
   void UpdateDirectory(const VmId& vm, const std::string& value);
@@ -59,6 +67,7 @@
   const RegistrationCodec& codec_;
   DaemonEntry own_;
   SizeListener on_size_;
+  EraListener on_era_;
   FleetDirectory directory_;
   // By id, with the time of removal if the registration was removed.
   std::unordered_map<std::string, std::optional<TimePoint>> daemons_;
@@ -67,6 +76,8 @@
   bool joined_ = false;
   bool registering_ = false;
   bool registered_ = false;
+  // Whether the store was restored while a registration was in progress.
+  bool register_again_ = false;
   StoreLease lease_;
   int reported_size_ = 0;
 };
--- a/src/discovery/searcher_registry.cc
+++ b/src/discovery/searcher_registry.cc
@@ -39,6 +39,8 @@
         << "ignoring registration of " << entry.id << ", which is outdated";
     return;
   }
+  if (DefersReturn(known, entry))
+    return;
   bool same_incarnation = entry.started_ms == known.entry.started_ms;
   if (!same_incarnation || !known.present ||
       entry.address != known.entry.address ||
@@ -87,6 +89,7 @@
 }
 
 void SearcherRegistry::Remove(const InstanceId& id) {
+  deferred_returns_.erase(id);
   auto it = known_.find(id);
   if (it == known_.end() || !it->second.present)
     return;
@@ -137,6 +140,31 @@
     Remove(id);
 }
 
+void SearcherRegistry::DeferReturnsUntil(TimePoint until) {
+  defer_returns_until_ = until;
+  timers_.ScheduleAt(until, [this] { ApplyDeferredReturns(); });
+}
+
+bool SearcherRegistry::DefersReturn(const KnownSearcher& known,
+                                    const SearcherEntry& entry) {
+  deferred_returns_.erase(entry.id);
+  if (known.present || timers_.Now() >= defer_returns_until_ ||
+      IsOlder(known.entry, entry))
+    return false;
+  deferred_returns_[entry.id] = entry;
+  return true;
+}
+
+void SearcherRegistry::ApplyDeferredReturns() {
+  if (timers_.Now() < defer_returns_until_)
+    return;
+  std::unordered_map<InstanceId, SearcherEntry> entries =
+      std::move(deferred_returns_);
+  deferred_returns_.clear();
+  for (const auto& [id, entry] : entries)
+    Put(entry);
+}
+
 void SearcherRegistry::Notify(SearcherChange change,
                               const SearcherEntry& entry) {
   listener_(change, entry);
--- a/src/discovery/searcher_registry.h
+++ b/src/discovery/searcher_registry.h
@@ -41,6 +41,10 @@
   // Until this time, searchers stay in use without a registration, since it may
   // have expired during an outage of the store.
   void DeferRemovalsUntil(TimePoint until);
+  // Until this time, a searcher that is gone stays so unless its registration
+  // is newer than the last one: an older copy of the store may hold
+  // registrations that were removed since.
+  void DeferReturnsUntil(TimePoint until);
 
   std::size_t ready_count() const { return ready_count_; }
 
@@ -56,7 +60,10 @@
   void MarkPresent(KnownSearcher& known, const SearcherEntry& entry);
   void Notify(SearcherChange change, const SearcherEntry& entry);
   void MarkGone(KnownSearcher& known);
+  // Whether the registration of a searcher that is gone has to wait.
+  bool DefersReturn(const KnownSearcher& known, const SearcherEntry& entry);
   void ApplyDeferredRemovals();
+  void ApplyDeferredReturns();
   void EvictGone();
 
   TimerService& timers_;
@@ -68,6 +75,8 @@
   bool listing_ = false;
   std::unordered_set<InstanceId> deferred_removals_;
   TimePoint defer_removals_until_{};
+  std::unordered_map<InstanceId, SearcherEntry> deferred_returns_;
+  TimePoint defer_returns_until_{};
   std::size_t ready_count_ = 0;
 };
 
--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -56,10 +56,24 @@
   ReadPage("");
 }
 
+void StoreWatcher::OnEra(StoreEra era) {
+  if (listed_ && era > latest_era_)
+    Restart();
+  latest_era_ = std::max(latest_era_, era);
+}
+
+void StoreWatcher::Restart() {
+  ++generation_;
+  List();
+}
+
 void StoreWatcher::ReadPage(const std::string& after) {
   StartCall(Duration(0));
   store_.Range(prefix_, after,
-               [this, after](KvPage page) { OnPage(after, std::move(page)); });
+               [this, after, generation = generation_](KvPage page) {
+                 if (generation == generation_)
+                   OnPage(after, std::move(page));
+               });
 }
 
 void StoreWatcher::OnPage(const std::string& after, KvPage page) {
@@ -69,9 +83,10 @@
   }
   OnSuccess(page);
   if (after.empty()) {
-    listing_revision_ = page.current_revision;
-    applied_revisions_.clear();
-    listener_.OnListingBegin();
+    OnFirstPage(page);
+  } else if (page.era != era_) {
+    Restart();
+    return;
   }
   for (const KvItem& it : page.items)
     Apply(it);
@@ -82,6 +97,17 @@
   EndListing();
 }
 
+void StoreWatcher::OnFirstPage(const KvPage& page) {
+  bool restored = listed_ && page.era > era_;
+  era_ = page.era;
+  latest_era_ = std::max(latest_era_, era_);
+  listing_revision_ = page.current_revision;
+  applied_revisions_.clear();
+  if (restored)
+    listener_.OnStoreRestored(era_);
+  listener_.OnListingBegin();
+}
+
 void StoreWatcher::EndListing() {
   watch_revision_ = listing_revision_;
   listed_ = true;
@@ -95,11 +121,20 @@
 
 void StoreWatcher::WatchFor(Duration wait) {
   StartCall(store_.WatchWait(wait));
-  store_.Watch(prefix_, watch_revision_, wait,
-               [this](KvPage page) { OnEvents(std::move(page)); });
+  store_.Watch(prefix_, {.era = era_, .revision = watch_revision_}, wait,
+               [this, generation = generation_](KvPage page) {
+                 if (generation == generation_)
+                   OnEvents(std::move(page));
+               });
 }
 
 void StoreWatcher::OnEvents(KvPage page) {
+  if (page.era > era_) {
+    // Nothing in this answer continues what is known.
+    latest_era_ = std::max(latest_era_, page.era);
+    Restart();
+    return;
+  }
   if (page.status == KvStatus::kCompacted) {
     ++calls_.compacted;
     OnSuccess(page);
@@ -111,6 +146,10 @@
     return;
   }
   OnSuccess(page);
+  if (page.era != era_) {
+    Restart();
+    return;
+  }
   for (const KvItem& it : page.items)
     Apply(it);
   watch_revision_ = std::max(watch_revision_, page.current_revision);
@@ -121,7 +160,10 @@
   // The delay counts towards the time in which a silent connection is detected.
   Duration delay = BatchDelay();
   Duration wait = std::max(watch_wait_ - delay, kMinWatchWait);
-  timers_.ScheduleAfter(delay, [this, wait] { WatchFor(wait); });
+  timers_.ScheduleAfter(delay, [this, wait, generation = generation_] {
+    if (generation == generation_)
+      WatchFor(wait);
+  });
 }
 
 Duration StoreWatcher::BatchDelay() const {
@@ -183,7 +225,10 @@
       static_cast<double>(delay.count()) * jitter(random_)));
   // The duration of the failed call counts towards the delay.
   TimePoint next = std::max(call_started_ + delay, timers_.Now());
-  timers_.ScheduleAt(next, [this, retry] { (this->*retry)(); });
+  timers_.ScheduleAt(next, [this, retry, generation = generation_] {
+    if (generation == generation_)
+      (this->*retry)();
+  });
 }
 
 }  // namespace jujubecove
--- a/src/discovery/store_watcher.h
+++ b/src/discovery/store_watcher.h
@@ -23,6 +23,9 @@
   // is the longest time for which it may not have served.
   virtual void OnStoreDisconnected(const std::string& reason) = 0;
   virtual void OnStoreReconnected(Duration outage) = 0;
+  // The store has come back from an older copy; a listing follows. What it had
+  // acknowledged since that copy may be missing or older in the listing.
+  virtual void OnStoreRestored(StoreEra /*era*/) {}
 };
 
 // Counts of a watcher's calls by their result.
@@ -35,9 +38,9 @@
 
 // Lists all keys with a prefix once and then watches for changes since the
 // revision of the listing. It lists again only if the store has compacted the
-// history since its last revision. After a failure, a watch that does not wait
-// shows at once whether the store serves calls: a watch can be cut without an
-// outage.
+// history since its last revision, or has come back from an older copy. After a
+// failure, a watch that does not wait shows at once whether the store serves
+// calls: a watch can be cut without an outage.
 class StoreWatcher {
  public:
   StoreWatcher(TimerService& timers,
@@ -48,6 +51,8 @@
                std::uint64_t seed);
 
   void Start();
+  // An answer to another call of the store was of this era.
+  void OnEra(StoreEra era);
   // Number of daemons that watch the store.
   void set_fleet_size(int size) { fleet_size_ = size; }
   const StoreCallStats& calls() const { return calls_; }
@@ -57,6 +62,8 @@
 
  private:
   void List();
+  // Lists anew and ignores the calls that are in progress.
+  void Restart();
   void ReadPage(const std::string& after);
   void OnPage(const std::string& after, KvPage page);
   void EndListing();
@@ -64,6 +71,7 @@
   void WatchFor(Duration wait);
   Duration BatchDelay() const;
   void OnEvents(KvPage page);
+  void OnFirstPage(const KvPage& page);
   void Apply(const KvItem& item);
   void StartCall(Duration wait);
   void OnFailure(const KvPage& page, void (StoreWatcher::*retry)());
@@ -88,6 +96,13 @@
   TimePoint call_started_{};
   TimePoint answer_due_{};
   StoreCallStats calls_;
+  // Of the latest listing; all revisions below are of this era.
+  StoreEra era_;
+  // The latest that an answer has shown.
+  StoreEra latest_era_;
+  // Number of restarts. Calls that were started before the latest one are
+  // ignored.
+  std::uint64_t generation_ = 0;
   // The watch reports changes after this revision.
   StoreRevision watch_revision_{};
   // Revision of the first page of the current listing.
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -2,9 +2,11 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <utility>
 
 #include "platform/json_codec.h"
+#include "platform/wire_names.h"
 #include "telemetry/log.h"
 
 namespace jujubecove::platform {
@@ -36,6 +38,20 @@
   return KvStatus::kRefused;
 }
 
+// Zero if there is no reply or it does not tell.
+StoreEra EraOf(const std::optional<WireReply>& reply) {
+  if (!reply)
+    return StoreEra();
+  std::string_view text = FindHeader(reply->headers, kStoreEra);
+  std::int64_t era = 0;
+  std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
+      era < 0)
+    return StoreEra();
+  return StoreEra(era);
+}
+
 std::optional<KvItem> DecodeItem(const json::value& value) {
   if (!value.is_object())
     return std::nullopt;
@@ -66,6 +82,7 @@
   KvPage page;
   page.status = StatusOf(reply);
   page.sent = exchange.written;
+  page.era = EraOf(reply);
   if (page.status != KvStatus::kOk)
     return page;
   std::optional<json::object> object = ParseObject(reply->body);
@@ -118,12 +135,13 @@
 }
 
 void PlatformKvClient::Watch(const std::string& prefix,
-                             StoreRevision after,
+                             StorePosition after,
                              Duration wait,
                              std::function<void(KvPage)> done) {
-  std::string target = "/v1/kv-watch?Prefix=" + EscapeQuery(prefix) +
-                       "&after=" + std::to_string(after.value()) + "&WaitMs=" +
-                       std::to_string(wait / std::chrono::milliseconds(1));
+  std::string target =
+      "/v1/kv-watch?Prefix=" + EscapeQuery(prefix) +
+      "&after=" + std::to_string(after.revision.value()) +
+      "&WaitMs=" + std::to_string(wait / std::chrono::milliseconds(1));
   client_.Call("GET", target, "", wait + call_timeout_,
                [done = std::move(done)](const HttpExchange& exchange) {
                  done(DecodePage(exchange, "events"));
@@ -153,6 +171,7 @@
         const std::optional<WireReply>& reply = exchange.reply;
         KvWriteResult write;
         write.status = StatusOf(reply);
+        write.era = EraOf(reply);
         if (write.status == KvStatus::kOk) {
           std::optional<json::object> object = ParseObject(reply->body);
           if (object) {
@@ -172,6 +191,7 @@
                  const std::optional<WireReply>& reply = exchange.reply;
                  KvLeaseResult lease;
                  lease.status = StatusOf(reply);
+                 lease.era = EraOf(reply);
                  if (lease.status == KvStatus::kOk) {
                    std::optional<json::object> object =
                        ParseObject(reply->body);
@@ -186,11 +206,13 @@
 }
 
 void PlatformKvClient::RenewLease(StoreLease lease,
-                                  std::function<void(KvStatus)> done) {
+                                  std::function<void(KvLeaseResult)> done) {
   client_.Call("POST", "/v1/kv-keep/" + std::to_string(lease.value()), "",
                call_timeout_,
-               [done = std::move(done)](const HttpExchange& exchange) {
-                 done(StatusOf(exchange.reply));
+               [lease, done = std::move(done)](const HttpExchange& exchange) {
+                 done({.status = StatusOf(exchange.reply),
+                       .lease = lease,
+                       .era = EraOf(exchange.reply)});
                });
 }
 
--- a/src/platform/kv_client.h
+++ b/src/platform/kv_client.h
@@ -20,7 +20,7 @@
              const std::string& after,
              std::function<void(KvPage)> done) override;
   void Watch(const std::string& prefix,
-             StoreRevision after,
+             StorePosition after,
              Duration wait,
              std::function<void(KvPage)> done) override;
   void Put(const std::string& key,
@@ -32,7 +32,7 @@
   void GrantLease(Duration ttl,
                   std::function<void(KvLeaseResult)> done) override;
   void RenewLease(StoreLease lease,
-                  std::function<void(KvStatus)> done) override;
+                  std::function<void(KvLeaseResult)> done) override;
 
  private:
   void Write(const boost::json::object& change,
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -20,6 +20,8 @@
 inline constexpr char kRetryAfter[] = "Retry-After";
 // Present in all replies of a searcher that is about to leave.
 inline constexpr char kServerLeaving[] = "Server-Leaving";
+// In all answers of the store: how often it has come back from an older copy.
+inline constexpr char kStoreEra[] = "Store-Era";
 inline constexpr char kPartStamps[] = "Part-Stamps";
 // Number of shards missing from a merged answer.
 inline constexpr char kMissingParts[] = "Missing-Parts";
--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -40,7 +40,7 @@
   has_history_ = false;
 }
 
-void ChangeRelay::OnWatchFinished(StoreRevision after,
+void ChangeRelay::OnWatchFinished(StorePosition after,
                                   TimePoint answer_due,
                                   const KvPage& page) {
   if (!watching_)
@@ -52,18 +52,25 @@
     return;
   }
   failed_ = false;
+  if (page.era != after.era) {
+    // This daemon has to list the store first.
+    has_history_ = false;
+    return;
+  }
   // A process that was frozen reads the answer long after it was sent.
   view_time_ = std::min(timers_.Now(), answer_due + kAnswerSlack);
   Append(after, page);
   ReplyToDuePolls();
 }
 
-void ChangeRelay::Append(StoreRevision after, const KvPage& page) {
+void ChangeRelay::Append(StorePosition after, const KvPage& page) {
   // The watch goes on after a new listing.
-  if (!has_history_ || after > latest_ || after < base_) {
+  if (!has_history_ || after.era != era_ || after.revision > latest_ ||
+      after.revision < base_) {
     history_.clear();
     history_bytes_ = 0;
-    base_ = latest_ = after;
+    era_ = after.era;
+    base_ = latest_ = after.revision;
     has_history_ = true;
   }
   StoreRevision known = latest_;
@@ -94,25 +101,30 @@
 bool ChangeRelay::IsDue(const ChangesQuery& query) const {
   if (!watching_)
     return true;
-  return IsCurrent() &&
-         (query.after < base_ ||
-          (!history_.empty() && history_.back().revision > query.after));
+  if (!IsCurrent() || query.after.era > era_)
+    return false;
+  return !Remembers(query.after) ||
+         (!history_.empty() && history_.back().revision > query.after.revision);
+}
+
+bool ChangeRelay::Remembers(StorePosition after) const {
+  return after.era == era_ && after.revision >= base_;
 }
 
 ChangesReply ChangeRelay::MakeReply(const ChangesQuery& query) const {
   ChangesReply reply;
   AddOutage(reply);
-  reply.current_revision = latest_;
-  if (!IsCurrent())
+  reply.current = {.era = era_, .revision = latest_};
+  if (!IsCurrent() || query.after.era > era_)
     return reply;
-  if (query.after < base_) {
+  if (!Remembers(query.after)) {
     reply.state = ViewState::kNoHistory;
     return reply;
   }
   reply.state = ViewState::kCurrent;
-  auto first =
-      std::find_if(history_.begin(), history_.end(),
-                   [&](const KvItem& it) { return it.revision > query.after; });
+  auto first = std::find_if(
+      history_.begin(), history_.end(),
+      [&](const KvItem& it) { return it.revision > query.after.revision; });
   reply.items.assign(first, history_.end());
   return reply;
 }
--- a/src/relay/change_relay.h
+++ b/src/relay/change_relay.h
@@ -27,7 +27,7 @@
   void OnWatchStarted() { watching_ = true; }
   // The result of a watch for changes after `after`. A store that serves has
   // answered it by `answer_due`.
-  void OnWatchFinished(StoreRevision after,
+  void OnWatchFinished(StorePosition after,
                        TimePoint answer_due,
                        const KvPage& page);
   // This daemon follows another one and does not watch the store any more.
@@ -52,7 +52,9 @@
   };
   using WaitingPolls = std::list<WaitingPoll>;
 
-  void Append(StoreRevision after, const KvPage& page);
+  void Append(StorePosition after, const KvPage& page);
+  // Whether the history holds all changes after the position.
+  bool Remembers(StorePosition after) const;
   // Whether the query need not wait any longer.
   bool IsDue(const ChangesQuery& query) const;
   ChangesReply MakeReply(const ChangesQuery& query) const;
@@ -66,6 +68,7 @@
   bool failed_ = false;
   // Whether `history_` holds all changes from `base_` to `latest_`.
   bool has_history_ = false;
+  StoreEra era_;
   StoreRevision base_;
   StoreRevision latest_;
   std::deque<KvItem> history_;
--- a/src/relay/relayed_kv_store.cc
+++ b/src/relay/relayed_kv_store.cc
@@ -46,7 +46,7 @@
 }
 
 void RelayedKvStore::Watch(const std::string& prefix,
-                           StoreRevision after,
+                           StorePosition after,
                            Duration wait,
                            std::function<void(KvPage)> done) {
   if (!prefix.empty() || !choice_.HasReaders()) {
@@ -70,7 +70,7 @@
   AskReader(watch);
 }
 
-void RelayedKvStore::WatchStore(StoreRevision after,
+void RelayedKvStore::WatchStore(StorePosition after,
                                 Duration wait,
                                 Duration outage,
                                 std::function<void(KvPage)> done) {
@@ -141,7 +141,8 @@
   page.status = KvStatus::kOk;
   page.is_batched = true;
   page.outage = NewOutage(reply);
-  page.current_revision = reply.current_revision;
+  page.era = reply.current.era;
+  page.current_revision = reply.current.revision;
   page.items = std::move(reply.items);
   return page;
 }
--- a/src/relay/relayed_kv_store.h
+++ b/src/relay/relayed_kv_store.h
@@ -53,7 +53,7 @@
     store_.Range(prefix, after, std::move(done));
   }
   void Watch(const std::string& prefix,
-             StoreRevision after,
+             StorePosition after,
              Duration wait,
              std::function<void(KvPage)> done) override;
   Duration WatchWait(Duration wait) const override;
@@ -72,7 +72,7 @@
     store_.GrantLease(ttl, std::move(done));
   }
   void RenewLease(StoreLease lease,
-                  std::function<void(KvStatus)> done) override {
+                  std::function<void(KvLeaseResult)> done) override {
     store_.RenewLease(lease, std::move(done));
   }
 
@@ -88,7 +88,7 @@
  private:
   // A watch that goes through readers.
   struct Following {
-    StoreRevision after;
+    StorePosition after;
     Duration wait{};
     TimePoint started{};
     int polls = 0;
@@ -98,7 +98,7 @@
   };
   using FollowingPtr = std::shared_ptr<Following>;
 
-  void WatchStore(StoreRevision after,
+  void WatchStore(StorePosition after,
                   Duration wait,
                   Duration outage,
                   std::function<void(KvPage)> done);
--- a/src/relay/store_changes.cc
+++ b/src/relay/store_changes.cc
@@ -68,7 +68,8 @@
 }  // namespace
 
 std::string Encode(const ChangesQuery& query) {
-  return json::serialize(json::object{{"after", query.after.value()},
+  return json::serialize(json::object{{"era", query.after.era.value()},
+                                      {"after", query.after.revision.value()},
                                       {"wait_ms", ToMs(query.wait)}});
 }
 
@@ -82,7 +83,8 @@
   }
   return json::serialize(
       json::object{{"state", static_cast<int>(reply.state)},
-                   {"revision", reply.current_revision.value()},
+                   {"era", reply.current.era.value()},
+                   {"revision", reply.current.revision.value()},
                    {"items", std::move(items)},
                    {"outage_ms", ToMs(reply.outage)},
                    {"since_outage_ms", ToMs(reply.since_outage)}});
@@ -92,11 +94,14 @@
   std::optional<json::object> object = ParseObject(text);
   if (!object)
     return std::nullopt;
+  std::optional<std::int64_t> era = Number(*object, "era");
   std::optional<std::int64_t> after = Number(*object, "after");
   std::optional<Duration> wait = Time(*object, "wait_ms");
-  if (!after || !wait)
+  if (!era || !after || !wait)
     return std::nullopt;
-  return ChangesQuery{.after = StoreRevision(*after), .wait = *wait};
+  return ChangesQuery{
+      .after = {.era = StoreEra(*era), .revision = StoreRevision(*after)},
+      .wait = *wait};
 }
 
 std::optional<ChangesReply> DecodeChangesReply(const std::string& text) {
@@ -104,16 +109,17 @@
   if (!object)
     return std::nullopt;
   std::optional<std::int64_t> state = Number(*object, "state");
+  std::optional<std::int64_t> era = Number(*object, "era");
   std::optional<std::int64_t> revision = Number(*object, "revision");
   std::optional<Duration> outage = Time(*object, "outage_ms");
   std::optional<Duration> since = Time(*object, "since_outage_ms");
   const json::value* items = object->if_contains("items");
-  if (!state || *state > static_cast<int>(ViewState::kNoHistory) || !revision ||
-      !outage || !since || items == nullptr || !items->is_array())
+  if (!state || *state > static_cast<int>(ViewState::kNoHistory) || !era ||
+      !revision || !outage || !since || items == nullptr || !items->is_array())
     return std::nullopt;
   ChangesReply reply;
   reply.state = static_cast<ViewState>(*state);
-  reply.current_revision = StoreRevision(*revision);
+  reply.current = {.era = StoreEra(*era), .revision = StoreRevision(*revision)};
   reply.outage = *outage;
   reply.since_outage = *since;
   for (const json::value& it : items->get_array()) {
--- a/src/relay/store_changes.h
+++ b/src/relay/store_changes.h
@@ -10,7 +10,7 @@
 
 // Asks another entry daemon for the changes in the store after a revision.
 struct ChangesQuery {
-  StoreRevision after;
+  StorePosition after;
   // The longest time to wait for a change.
   Duration wait{};
 };
@@ -27,7 +27,7 @@
 
 struct ChangesReply {
   ViewState state = ViewState::kStale;
-  StoreRevision current_revision;
+  StorePosition current;
   std::vector<KvItem> items;
   // The latest outage of the store that the daemon has seen, and the time since
   // its end. No outage if zero.
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -12,9 +12,19 @@
 
 // Position in the history of the key-value store; grows with every change.
 using StoreRevision = StrongId<struct StoreRevisionTag, std::int64_t>;
+// Rises by one when the store has come back from an older copy of itself.
+// Changes and leases after that copy are gone and their revisions are given out
+// again. Zero if the store does not tell.
+using StoreEra = StrongId<struct StoreEraTag, std::int64_t>;
 // Zero means no lease.
 using StoreLease = StrongId<struct StoreLeaseTag, std::int64_t>;
 
+// A revision and the only era in which it can be compared with others.
+struct StorePosition {
+  StoreEra era;
+  StoreRevision revision;
+};
+
 // One key with its value, or the removal of a key.
 struct KvItem {
   std::string key;
@@ -42,6 +52,8 @@
   bool sent = true;
   std::vector<KvItem> items;
   bool has_more = false;
+  // Also of an answer that refuses the call.
+  StoreEra era;
   StoreRevision current_revision;
   // Whether changes were collected for some time, so that the next watch need
   // not be delayed to collect more.
@@ -53,11 +65,13 @@
 struct KvWriteResult {
   KvStatus status = KvStatus::kUnknown;
   StoreRevision revision;
+  StoreEra era;
 };
 
 struct KvLeaseResult {
   KvStatus status = KvStatus::kUnknown;
   StoreLease lease;
+  StoreEra era;
 };
 
 // The platform's key-value store. Each call invokes its callback exactly once.
@@ -69,10 +83,10 @@
   virtual void Range(const std::string& prefix,
                      const std::string& after,
                      std::function<void(KvPage)> done) = 0;
-  // Returns the changes after revision `after` as soon as there are any, or
-  // none after `wait`.
+  // Returns the changes after position `after` as soon as there are any, or
+  // none after `wait`. The result may be of a later era.
   virtual void Watch(const std::string& prefix,
-                     StoreRevision after,
+                     StorePosition after,
                      Duration wait,
                      std::function<void(KvPage)> done) = 0;
   // How long a watch waits that is asked to wait for `wait`.
@@ -86,7 +100,7 @@
   virtual void GrantLease(Duration ttl,
                           std::function<void(KvLeaseResult)> done) = 0;
   virtual void RenewLease(StoreLease lease,
-                          std::function<void(KvStatus)> done) = 0;
+                          std::function<void(KvLeaseResult)> done) = 0;
 };
 
 }  // namespace jujubecove
--- a/tests/standin/fake_kv_store.cc
+++ b/tests/standin/fake_kv_store.cc
@@ -1,5 +1,6 @@
 #include "tests/standin/fake_kv_store.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jujubecove {
@@ -20,6 +21,7 @@
   ScheduleReply([this, prefix, after, done = std::move(done)] {
     KvPage page;
     page.status = call_status_;
+    page.era = era();
     if (call_status_ == KvStatus::kOk) {
       if (!after.empty() && before_second_page_)
         std::exchange(before_second_page_, nullptr)();
@@ -41,8 +43,9 @@
                                 StoreRevision after) const {
   KvPage page;
   page.status = KvStatus::kOk;
+  page.era = era();
   page.current_revision = StoreRevision(revision_);
-  if (after.value() < compacted_revision_) {
+  if (after.value() < compacted_revision_ || after.value() > revision_) {
     page.status = KvStatus::kCompacted;
     return page;
   }
@@ -54,7 +57,7 @@
 }
 
 void FakeKvStore::Watch(const std::string& prefix,
-                        StoreRevision after,
+                        StorePosition after,
                         Duration wait,
                         std::function<void(KvPage)> done) {
   ++calls_;
@@ -72,7 +75,8 @@
   }
   bool is_cut = watch_cut_after_ > Duration(0) && watch_cut_after_ < wait;
   TimePoint until = timers_.Now() + (is_cut ? watch_cut_after_ : wait);
-  pending_watches_.push_back({prefix, after, until, is_cut, std::move(done)});
+  pending_watches_.push_back(
+      {prefix, after.revision, until, is_cut, std::move(done)});
   timers_.ScheduleAt(until, [this] { AnswerWatches(); });
   timers_.ScheduleAfter(kCallLatency, [this] { AnswerWatches(); });
 }
@@ -83,8 +87,10 @@
   for (PendingWatch& it : watches) {
     KvPage page = EventsAfter(it.prefix, it.after);
     if (call_status_ != KvStatus::kOk)
-      page =
-          KvPage{.status = call_status_, .items = {}, .current_revision = {}};
+      page = KvPage{.status = call_status_,
+                    .items = {},
+                    .era = era(),
+                    .current_revision = {}};
     bool has_expired = timers_.Now() >= it.until;
     if (has_expired && it.is_cut && page.items.empty())
       page.status = KvStatus::kUnknown;
@@ -103,7 +109,7 @@
   else
     items_[item.key] = item;
   AnswerWatches();
-  return KvWriteResult{KvStatus::kOk, item.revision};
+  return KvWriteResult{KvStatus::kOk, item.revision, era()};
 }
 
 void FakeKvStore::Put(const std::string& key,
@@ -112,9 +118,9 @@
                       std::function<void(KvWriteResult)> done) {
   ScheduleReply([this, key, value, lease, done = std::move(done)] {
     if (call_status_ != KvStatus::kOk)
-      done(KvWriteResult{call_status_, {}});
+      done(KvWriteResult{call_status_, {}, era()});
     else if (lease.value() > last_lease_)
-      done(KvWriteResult{KvStatus::kNotFound, {}});
+      done(KvWriteResult{KvStatus::kNotFound, {}, era()});
     else
       done(Apply({key, value, {}, false}));
   });
@@ -124,7 +130,7 @@
                          std::function<void(KvWriteResult)> done) {
   ScheduleReply([this, key, done = std::move(done)] {
     if (call_status_ != KvStatus::kOk)
-      done(KvWriteResult{call_status_, {}});
+      done(KvWriteResult{call_status_, {}, era()});
     else
       done(Apply({key, "", {}, true}));
   });
@@ -134,14 +140,35 @@
                              std::function<void(KvLeaseResult)> done) {
   ScheduleReply([this, done = std::move(done)] {
     if (call_status_ != KvStatus::kOk)
-      done(KvLeaseResult{call_status_, {}});
+      done(KvLeaseResult{call_status_, {}, era()});
     else
-      done(KvLeaseResult{KvStatus::kOk, StoreLease(++last_lease_)});
+      done(KvLeaseResult{KvStatus::kOk, StoreLease(++last_lease_), era()});
   });
 }
 
-void FakeKvStore::RenewLease(StoreLease, std::function<void(KvStatus)> done) {
-  ScheduleReply([this, done = std::move(done)] { done(call_status_); });
+void FakeKvStore::RenewLease(StoreLease lease,
+                             std::function<void(KvLeaseResult)> done) {
+  ScheduleReply([this, lease, done = std::move(done)] {
+    bool is_known = lease.value() <= last_lease_;
+    KvStatus status = call_status_ == KvStatus::kOk && !is_known
+                          ? KvStatus::kNotFound
+                          : call_status_;
+    done(KvLeaseResult{status, lease, era()});
+  });
+}
+
+void FakeKvStore::TakeCopy() {
+  copy_ = {items_, history_, revision_, last_lease_};
+}
+
+void FakeKvStore::RestoreCopy() {
+  items_ = copy_.items;
+  history_ = copy_.history;
+  revision_ = copy_.revision;
+  last_lease_ = copy_.last_lease;
+  compacted_revision_ = std::min(compacted_revision_, revision_);
+  ++era_;
+  AnswerWatches();
 }
 
 void FakeKvStore::Set(const std::string& key, const std::string& value) {
--- a/tests/standin/fake_kv_store.h
+++ b/tests/standin/fake_kv_store.h
@@ -21,7 +21,7 @@
              const std::string& after,
              std::function<void(KvPage)> done) override;
   void Watch(const std::string& prefix,
-             StoreRevision after,
+             StorePosition after,
              Duration wait,
              std::function<void(KvPage)> done) override;
   void Put(const std::string& key,
@@ -33,13 +33,17 @@
   void GrantLease(Duration ttl,
                   std::function<void(KvLeaseResult)> done) override;
   void RenewLease(StoreLease lease,
-                  std::function<void(KvStatus)> done) override;
+                  std::function<void(KvLeaseResult)> done) override;
 
   // Changes made by other clients, effective at once.
   void Set(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   // Drops the history up to the current revision.
   void Compact() { compacted_revision_ = revision_; }
+  // Remembers the present state, and goes back to it: later changes and leases
+  // are gone, their revisions are given out again, and the era rises by one.
+  void TakeCopy();
+  void RestoreCopy();
   // From now on all calls fail with this status; kOk ends the failure.
   void set_call_status(KvStatus status) { call_status_ = status; }
   // From now on watches get no answer and end with kUnknown after this time;
@@ -74,9 +78,19 @@
   void ScheduleReply(std::function<void()> reply);
   KvPage EventsAfter(const std::string& prefix, StoreRevision after) const;
   void AnswerWatches();
+  StoreEra era() const { return StoreEra(era_); }
   KvWriteResult Apply(KvItem item);
 
+  struct Copy {
+    std::map<std::string, KvItem> items;
+    std::deque<KvItem> history;
+    std::int64_t revision = 1;
+    std::int64_t last_lease = 0;
+  };
+
   TimerService& timers_;
+  Copy copy_;
+  std::int64_t era_ = 0;
   std::map<std::string, KvItem> items_;
   std::deque<KvItem> history_;
   std::vector<PendingWatch> pending_watches_;
--- a/tests/standin/kv_server.cc
+++ b/tests/standin/kv_server.cc
@@ -162,7 +162,7 @@
     store_.Range(prefix, after, PageResponder("items", respond));
   } else if (target.starts_with("/v1/kv-watch")) {
     std::int64_t wait = std::atoll(Parameter(target, "WaitMs").c_str());
-    store_.Watch(prefix, StoreRevision(std::atoll(after.c_str())),
+    store_.Watch(prefix, {.revision = StoreRevision(std::atoll(after.c_str()))},
                  std::chrono::milliseconds(wait),
                  PageResponder("events", respond));
   } else {
--- a/tests/unit/discovery/discovery_client_test.cc
+++ b/tests/unit/discovery/discovery_client_test.cc
@@ -33,7 +33,10 @@
             codec_,
             log_,
             {{VmId("own"), ZoneName("zone")}, milliseconds(2500), 1},
-            {.table_changed = [](const RouteTablePtr&) {},
+            {.table_changed =
+                 [this](const RouteTablePtr& table) {
+                   versions_.push_back(table->version().value());
+                 },
              .searcher_changed =
                  [this](SearcherChange change, const SearcherEntry& entry) {
                    OnChange(change, entry.id.value());
@@ -51,6 +54,12 @@
         "Zone": "zone", "Version": "v1", "Slots": 4, "State": "ready",
         "WarmupLeftMs": 0, "Sequence": 1, "born": 1000})");
   }
+  void Configure(int version) {
+    store_.Set("op/config", R"({"Version": )" + std::to_string(version) +
+                                R"(, "Routes": [], "Services": [], "Limits": {
+                     "MaxHeaderBytes": 8192, "MaxBodyBytes": 1000,
+                     "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 5000}})");
+  }
   void Start() {
     discovery_.Start();
     timers_.AdvanceBy(seconds(1));
@@ -71,6 +80,7 @@
   LineSink sink_;
   DecisionLog log_;
   std::set<std::string> in_use_;
+  std::vector<std::uint64_t> versions_;
   DiscoveryClient discovery_;
 };
 
@@ -126,5 +136,77 @@
   EXPECT_LE(MeasureRemoval("old"), kMaxTimeToRemove);
 }
 
+// Guards against a configuration that goes back because the store came back
+// from a copy with an older one, or with none.
+TEST_F(DiscoveryClientTest, RestoredStoreNeverTakesConfigurationBack) {
+  store_.TakeCopy();
+  Configure(1);
+  Start();
+  store_.RestoreCopy();
+  timers_.AdvanceBy(seconds(5));
+  EXPECT_TRUE(discovery_.IsSynced());
+  Configure(2);
+  timers_.AdvanceBy(seconds(2));
+  store_.TakeCopy();
+  Configure(5);
+  timers_.AdvanceBy(seconds(2));
+  store_.RestoreCopy();
+  timers_.AdvanceBy(seconds(5));
+  Configure(5);
+  Configure(7);
+  timers_.AdvanceBy(seconds(2));
+  EXPECT_EQ(versions_, (std::vector<std::uint64_t>{1, 2, 5, 7}));
+}
+
+// Guards against an empty pool because a restored store lacks searchers that
+// write their registrations again, and against daemons that it lacks.
+TEST_F(DiscoveryClientTest, RestoredStoreGivesMissingSearchersTime) {
+  store_.TakeCopy();
+  Register("back");
+  Register("lost");
+  Start();
+  ASSERT_EQ(in_use_.size(), 2U);
+  store_.RestoreCopy();
+  timers_.AdvanceBy(milliseconds(1500));
+  EXPECT_EQ(in_use_.size(), 2U);
+  EXPECT_TRUE(store_.Has("fronts/own"));
+  Register("back");
+  timers_.AdvanceBy(seconds(4));
+  EXPECT_EQ(in_use_, std::set<std::string>{"back"});
+}
+
+// Guards against new work for a searcher that is gone, because an older copy of
+// the store still holds its registration.
+TEST_F(DiscoveryClientTest, RestoredStoreBringsNoGoneSearcherBack) {
+  Register("gone");
+  Register("alive");
+  Start();
+  store_.TakeCopy();
+  store_.Remove("servers/gone");
+  timers_.AdvanceBy(seconds(2));
+  ASSERT_EQ(in_use_, std::set<std::string>{"alive"});
+  store_.RestoreCopy();
+  for (int n = 0; n < 10; ++n) {
+    timers_.AdvanceBy(milliseconds(150));
+    EXPECT_FALSE(in_use_.contains("gone"));
+  }
+  // What was written since the copy is written again.
+  store_.Remove("servers/gone");
+  timers_.AdvanceBy(seconds(5));
+  EXPECT_EQ(in_use_, std::set<std::string>{"alive"});
+}
+
+// Guards against a searcher that stays unused although its registration holds.
+TEST_F(DiscoveryClientTest, RegistrationThatStaysAfterRestoreIsUsed) {
+  Register("back");
+  Start();
+  store_.TakeCopy();
+  store_.Remove("servers/back");
+  timers_.AdvanceBy(seconds(2));
+  store_.RestoreCopy();
+  timers_.AdvanceBy(seconds(6));
+  EXPECT_EQ(in_use_, std::set<std::string>{"back"});
+}
+
 }  // namespace
 }  // namespace jujubecove
--- a/tests/unit/discovery/fleet_membership_test.cc
+++ b/tests/unit/discovery/fleet_membership_test.cc
@@ -89,5 +89,33 @@
   EXPECT_FALSE(store_.Has("fronts/own"));
 }
 
+// Guards against a daemon that nobody counts because the store has come back
+// from a copy without its registration and lease.
+TEST_F(FleetMembershipTest, RegistersAgainWhenStoreWasRestored) {
+  store_.TakeCopy();
+  Join();
+  store_.RestoreCopy();
+  ASSERT_FALSE(store_.Has("fronts/own"));
+  fleet_.OnStoreRestored();
+  timers_.AdvanceBy(milliseconds(100));
+  EXPECT_TRUE(store_.Has("fronts/own"));
+}
+
+// Guards against a registration under a lease that is gone, because the store
+// was restored while the registration was on its way.
+TEST_F(FleetMembershipTest, RegistersAgainWhenStoreWasRestoredMeanwhile) {
+  store_.TakeCopy();
+  fleet_.Join();
+  timers_.AdvanceBy(milliseconds(6));
+  store_.RestoreCopy();
+  fleet_.OnStoreRestored();
+  timers_.AdvanceBy(milliseconds(100));
+  EXPECT_TRUE(store_.Has("fronts/own"));
+  // The lease is one that the store knows.
+  int calls = store_.calls();
+  timers_.AdvanceBy(seconds(200));
+  EXPECT_EQ(store_.calls() - calls, 1);
+}
+
 }  // namespace
 }  // namespace jujubecove
--- a/tests/unit/discovery/store_watcher_test.cc
+++ b/tests/unit/discovery/store_watcher_test.cc
@@ -1,6 +1,7 @@
 #include "discovery/store_watcher.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <map>
 
@@ -217,5 +218,77 @@
   EXPECT_EQ(recorder_.items_.size(), 30U);
 }
 
+// Guards against a view that mixes two histories: after the store has come back
+// from an older copy, its revisions are given out again.
+TEST_F(StoreWatcherTest, ListsAnewWhenStoreWasRestored) {
+  store_.Set("a", "1");
+  watcher_.Start();
+  timers_.AdvanceBy(seconds(1));
+  store_.TakeCopy();
+  store_.Set("a", "2");
+  store_.Set("lost", "1");
+  timers_.AdvanceBy(seconds(1));
+  EXPECT_TRUE(recorder_.items_.contains("lost"));
+  store_.RestoreCopy();
+  store_.Set("b", "1");
+  store_.Set("c", "1");
+  store_.Set("d", "1");
+  timers_.AdvanceBy(seconds(3));
+  std::map<std::string, std::string> expected = {
+      {"a", "1"}, {"b", "1"}, {"c", "1"}, {"d", "1"}};
+  EXPECT_EQ(recorder_.items_, expected);
+}
+
+// Guards against a restored store that is noticed only when the watch ends.
+TEST_F(StoreWatcherTest, ListsAnewWhenAnotherCallShowsNewEra) {
+  watcher_.Start();
+  timers_.AdvanceBy(seconds(1));
+  watcher_.OnEra(StoreEra(0));
+  EXPECT_EQ(recorder_.listings_, 1);
+  watcher_.OnEra(StoreEra(1));
+  watcher_.OnEra(StoreEra(1));
+  timers_.AdvanceBy(milliseconds(10));
+  EXPECT_EQ(recorder_.listings_, 2);
+}
+
+// Whatever happens to the store, the view equals it after a quiet time.
+RC_GTEST_FIXTURE_PROP(StoreWatcherTest, ViewEqualsStoreAfterRestores, ()) {
+  watcher_.Start();
+  store_.set_page_size(3);
+  int steps = *rc::gen::inRange(5, 60);
+  for (int n = 0; n < steps; ++n) {
+    std::string key(1, *rc::gen::inRange('a', 'h'));
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+        store_.TakeCopy();
+        break;
+      case 1:
+        store_.RestoreCopy();
+        break;
+      case 2:
+        store_.Compact();
+        break;
+      case 3:
+        store_.set_call_status(*rc::gen::element(
+            KvStatus::kOk, KvStatus::kRefused, KvStatus::kUnknown));
+        break;
+      case 4:
+        store_.Remove(key);
+        break;
+      default:
+        store_.Set(key, std::to_string(n));
+    }
+    timers_.AdvanceBy(milliseconds(*rc::gen::inRange(0, 800)));
+  }
+  store_.set_call_status(KvStatus::kOk);
+  timers_.AdvanceBy(seconds(6));
+  for (char key = 'a'; key < 'h'; ++key) {
+    std::string name(1, key);
+    RC_ASSERT(recorder_.items_.contains(name) == store_.Has(name));
+    if (store_.Has(name))
+      RC_ASSERT(recorder_.items_[name] == store_.ValueOf(name));
+  }
+}
+
 }  // namespace
 }  // namespace jujubecove
--- a/tests/unit/platform/kv_client_test.cc
+++ b/tests/unit/platform/kv_client_test.cc
@@ -83,10 +83,11 @@
   });
   KvPage result;
   bool done = false;
-  client_->Watch("", StoreRevision(3), milliseconds(100), [&](KvPage page) {
-    result = std::move(page);
-    done = true;
-  });
+  client_->Watch("", {.revision = StoreRevision(3)}, milliseconds(100),
+                 [&](KvPage page) {
+                   result = std::move(page);
+                   done = true;
+                 });
   RunUntil(done);
   ASSERT_EQ(result.items.size(), 1U);
   EXPECT_TRUE(result.items[0].removed);
@@ -181,7 +182,7 @@
                   seconds(10));
   bool done = false;
   TimePoint start = timers_.Now();
-  client_->Watch("", StoreRevision(1), seconds(20),
+  client_->Watch("", {.revision = StoreRevision(1)}, seconds(20),
                  [&done](const KvPage& page) {
                    EXPECT_EQ(page.status, KvStatus::kUnknown);
                    done = true;
@@ -232,5 +233,33 @@
   EXPECT_EQ(page.items[1].value, "hi");
 }
 
+// Guards against a store that came back from an older copy unnoticed, also when
+// it refuses the call, and against an odd header that is taken for an era.
+TEST_F(KvClientTest, ReadsEraOfEveryAnswer) {
+  std::string header;
+  int status = 200;
+  Serve([&](const std::string&) {
+    std::string reply = Json(status, R"({"items":[],"CurrentRev":9})");
+    reply.insert(reply.find("\r\n") + 2, header);
+    return ScriptedServer::Reaction{reply};
+  });
+  EXPECT_EQ(Range().era, StoreEra(0));
+  header = "Store-Era: 7\r\n";
+  for (int it : {200, 410, 503}) {
+    status = it;
+    EXPECT_EQ(Range().era, StoreEra(7)) << it;
+  }
+  bool done = false;
+  client_->RenewLease(StoreLease(1), [&](const KvLeaseResult& lease) {
+    EXPECT_EQ(lease.era, StoreEra(7));
+    done = true;
+  });
+  RunUntil(done);
+  for (std::string odd : {"-1", "x", "", "7 8", "99999999999999999999"}) {
+    header = "Store-Era: " + odd + "\r\n";
+    EXPECT_EQ(Range().era, StoreEra(0)) << odd;
+  }
+}
+
 }  // namespace
 }  // namespace jujubecove::platform
--- a/tests/unit/relay/relay_fleet.h
+++ b/tests/unit/relay/relay_fleet.h
@@ -78,7 +78,7 @@
     store_.Range(prefix, after, Track(Duration(0), std::move(done)));
   }
   void Watch(const std::string& prefix,
-             StoreRevision after,
+             StorePosition after,
              Duration wait,
              std::function<void(KvPage)> done) override {
     store_.Watch(prefix, after, wait, Track(wait, std::move(done)));
@@ -98,7 +98,7 @@
     store_.GrantLease(ttl, std::move(done));
   }
   void RenewLease(StoreLease lease,
-                  std::function<void(KvStatus)> done) override {
+                  std::function<void(KvLeaseResult)> done) override {
     store_.RenewLease(lease, std::move(done));
   }
 
@@ -148,7 +148,10 @@
       on_outage_(outage);
   }
 
+  void OnStoreRestored(StoreEra) override { latest_.clear(); }
+
   std::map<std::string, std::string> items_;
+  // Of the present era.
   std::map<std::string, StoreRevision> latest_;
   bool went_back_ = false;
   Duration outage_{};
--- a/tests/unit/relay/relayed_kv_store_test.cc
+++ b/tests/unit/relay/relayed_kv_store_test.cc
@@ -156,7 +156,7 @@
     RelayFleet::Vm& vm = fleet.Find(
         VmId("vm" + std::to_string(*rc::gen::inRange(0, kFleetSize))));
     std::string key = "k" + std::to_string(*rc::gen::inRange(0, 4));
-    switch (*rc::gen::inRange(0, 9)) {
+    switch (*rc::gen::inRange(0, 11)) {
       case 0:
         vm.store_.is_cut_ = !vm.store_.is_cut_;
         break;
@@ -179,6 +179,12 @@
       case 5:
         fleet.store_.Remove(key);
         break;
+      case 6:
+        fleet.store_.TakeCopy();
+        break;
+      case 7:
+        fleet.store_.RestoreCopy();
+        break;
       default:
         fleet.store_.Set(key, std::to_string(n));
     }
@@ -202,5 +208,21 @@
   }
 }
 
+// Guards against a reader whose revisions are of an era before the follower's,
+// or the other way round.
+TEST(RelayedKvStoreTest, RestoredStoreIsListedByAll) {
+  RelayFleet fleet(kFleetSize);
+  fleet.store_.TakeCopy();
+  fleet.store_.Set("lost", "1");
+  fleet.timers_.AdvanceBy(kBound);
+  fleet.store_.RestoreCopy();
+  EXPECT_LT(fleet.MeasureChange(), kBound);
+  for (RelayFleet::Vm* it : fleet.Live())
+    EXPECT_FALSE(it->view_.items_.contains("lost"));
+  int before = fleet.StoreCalls();
+  fleet.timers_.AdvanceBy(seconds(10));
+  EXPECT_LE(fleet.StoreCalls() - before, 2 * 10);
+}
+
 }  // namespace
 }  // namespace jujubecove
