--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -24,6 +24,8 @@
     FleetMembership::SizeListener fleet_size_changed;
     // The evacuation of an availability zone began or ended. May be empty.
     EvacuationRegistry::Listener zone_evacuated{};
+    // The store serves again after an outage. May be empty.
+    std::function<void(Duration)> store_regained;
   };
   struct Options {
     DaemonEntry own;
@@ -58,6 +60,7 @@
   void OnItem(const KvItem& item) override;
   void OnStoreDisconnected(const std::string& reason) override;
   void OnStoreReconnected(Duration outage) override;
+  void OnStoreRestored(StoreEra era) override;
 
  private:
   void OnConfig(const KvItem& item);
--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -57,10 +57,24 @@
   ReadPage("");
 }
 
+void StoreWatcher::OnEra(StoreEra era) {
+  if (listed_ && era > latest_era_)
+    Restart();
+  latest_era_ = std::max(latest_era_, era);
+}
+
+void StoreWatcher::Restart() {
+  ++generation_;
+  List();
+}
+
 void StoreWatcher::ReadPage(const std::string& after) {
   StartCall(Duration(0));
   store_.Range(prefix_, after,
-               [this, after](KvPage page) { OnPage(after, std::move(page)); });
+               [this, after, generation = generation_](KvPage page) {
+                 if (generation == generation_)
+                   OnPage(after, std::move(page));
+               });
 }
 
 void StoreWatcher::OnPage(const std::string& after, KvPage page) {
@@ -68,11 +82,12 @@
     OnFailure(page, &StoreWatcher::List);
     return;
   }
-  OnSuccess();
+  OnSuccess(page);
   if (after.empty()) {
-    listing_revision_ = page.current_revision;
-    applied_revisions_.clear();
-    listener_.OnListingBegin();
+    OnFirstPage(page);
+  } else if (page.era != era_) {
+    Restart();
+    return;
   }
   for (const KvItem& it : page.items)
     Apply(it);
@@ -80,15 +95,26 @@
     ReadPage(page.items.back().key);
     return;
   }
-  EndListing();
+  EndListing(page.batch_delay.value_or(Duration(0)));
+}
+
+void StoreWatcher::OnFirstPage(const KvPage& page) {
+  bool restored = listed_ && page.era > era_;
+  era_ = page.era;
+  latest_era_ = std::max(latest_era_, era_);
+  listing_revision_ = page.current_revision;
+  applied_revisions_.clear();
+  if (restored)
+    listener_.OnStoreRestored(era_);
+  listener_.OnListingBegin();
 }
 
-void StoreWatcher::EndListing() {
+void StoreWatcher::EndListing(Duration delay) {
   watch_revision_ = listing_revision_;
   listed_ = true;
   confirmed_at_ = read_started_;
   listener_.OnListingEnd();
-  Watch();
+  WatchAfter(delay);
 }
 
 void StoreWatcher::Watch() {
@@ -96,16 +122,25 @@
 }
 
 void StoreWatcher::WatchFor(Duration wait) {
-  StartCall(wait);
+  StartCall(store_.WatchWait(wait));
   read_started_ = timers_.NowWithSuspension();
-  store_.Watch(prefix_, watch_revision_, wait,
-               [this](KvPage page) { OnEvents(std::move(page)); });
+  store_.Watch(prefix_, {.era = era_, .revision = watch_revision_}, wait,
+               [this, generation = generation_](KvPage page) {
+                 if (generation == generation_)
+                   OnEvents(std::move(page));
+               });
 }
 
 void StoreWatcher::OnEvents(KvPage page) {
+  if (page.era > era_) {
+    // Nothing in this answer continues what is known.
+    latest_era_ = std::max(latest_era_, page.era);
+    Restart();
+    return;
+  }
   if (page.status == KvStatus::kCompacted) {
     ++calls_.compacted;
-    OnSuccess();
+    OnSuccess(page);
     List();
     return;
   }
@@ -121,7 +156,11 @@
     OnFailure(page, &StoreWatcher::Watch);
     return;
   }
-  OnSuccess();
+  OnSuccess(page);
+  if (page.era != era_) {
+    Restart();
+    return;
+  }
   for (const KvItem& it : page.items)
     Apply(it);
   watch_revision_ = std::max(watch_revision_, page.current_revision);
@@ -130,10 +169,20 @@
     Watch();
     return;
   }
+  WatchAfter(page.batch_delay.value_or(BatchDelay()));
+}
+
+void StoreWatcher::WatchAfter(Duration delay) {
+  if (delay == Duration(0)) {
+    Watch();
+    return;
+  }
   // The delay counts towards the time in which a silent connection is detected.
-  Duration delay = BatchDelay();
   Duration wait = std::max(watch_wait_ - delay, kMinWatchWait);
-  timers_.ScheduleAfter(delay, [this, wait] { WatchFor(wait); });
+  timers_.ScheduleAfter(delay, [this, wait, generation = generation_] {
+    if (generation == generation_)
+      WatchFor(wait);
+  });
 }
 
 Duration StoreWatcher::BatchDelay() const {
@@ -156,12 +205,15 @@
   answer_due_ = call_started_ + wait;
 }
 
-void StoreWatcher::OnSuccess() {
+void StoreWatcher::OnSuccess(const KvPage& page) {
   ++calls_.served;
+  Duration outage = page.outage;
   if (was_disconnected_) {
     was_disconnected_ = false;
-    listener_.OnStoreReconnected(timers_.Now() - outage_started_);
+    outage = std::max(outage, timers_.Now() - outage_started_);
   }
+  if (outage > Duration(0))
+    listener_.OnStoreReconnected(outage);
   connected_ = true;
   consecutive_failures_ = 0;
   last_success_ = timers_.Now();
@@ -192,7 +244,10 @@
       static_cast<double>(delay.count()) * jitter(random_)));
   // The duration of the failed call counts towards the delay.
   TimePoint next = std::max(call_started_ + delay, timers_.Now());
-  timers_.ScheduleAt(next, [this, retry] { (this->*retry)(); });
+  timers_.ScheduleAt(next, [this, retry, generation = generation_] {
+    if (generation == generation_)
+      (this->*retry)();
+  });
 }
 
 }  // namespace jujubecove
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -22,6 +22,8 @@
 #include "platform/kv_client.h"
 #include "platform/registration_codec.h"
 #include "quota/quota_service.h"
+#include "relay/peer_reader_link.h"
+#include "relay/relayed_kv_store.h"
 #include "telemetry/decision_log.h"
 
 namespace jujubecove {
@@ -53,6 +55,7 @@
   DiscoveryClient::Callbacks DiscoveryCallbacks();
   DaemonEntry OwnEntry() const;
   QuotaService::Environment QuotaEnvironment();
+  RelayedKvStore::Options RelayOptions() const;
   CallerAnswer AnswerOperations(const std::string& path);
   void WaitForSignal();
   void Reload();
@@ -83,6 +86,9 @@
   platform::PlatformSearcherProtocol searcher_protocol_;
   platform::PlatformRegistrationCodec codec_;
   platform::PlatformKvClient store_;
+  PeerClient peer_client_;
+  PeerReaderLink reader_link_;
+  RelayedKvStore relayed_store_;
   MetricsRegistry registry_;
   FrontMetrics metrics_;
   HttpSearcherTransport transport_;
@@ -97,7 +103,6 @@
   IngressServer readiness_server_;
   IngressServer metrics_server_;
   PeerServer peer_server_;
-  PeerClient peer_client_;
   QuotaService quota_;
   boost::asio::signal_set signals_;
   IngressLimits default_limits_;
