--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -45,6 +45,7 @@
 // Where settings come from: a file, and overrides of the command line
 // ("section.key=value").
 struct SettingsSource {
+  // NOLINTNEXTLINE(google-explicit-constructor): allows a path alone.
   SettingsSource(std::string file, std::vector<std::string> values = {})
       : path(std::move(file)), overrides(std::move(values)) {}
   // NOLINTNEXTLINE(google-explicit-constructor): allows a literal path.
--- a/tests/crowd/caller_crowd.cc
+++ b/tests/crowd/caller_crowd.cc
@@ -69,8 +69,8 @@
         continue;
       std::string_view rest =
           sent[n] < first.size()
-              ? std::string_view(first).substr(sent[n])
-              : std::string_view(repeated).substr((sent[n] - first.size()) %
+              ? std::string_view{first}.substr(sent[n])
+              : std::string_view{repeated}.substr((sent[n] - first.size()) %
                                                   repeated.size());
       error_code ec;
       std::size_t size = sockets_[n].write_some(
