--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -148,7 +148,7 @@
   // listing is read in pages.
   if (page.status == KvStatus::kTooLarge) {
     ++calls_.too_large;
-    OnSuccess();
+    OnSuccess(page);
     List();
     return;
   }
