Call the store less when a fleet starts and while much changes

Cause: at the start each VM watched for every part of the registrations, and followers asked readers that had not yet remembered a change. The page of a KvStore says how long to collect.

--- a/src/discovery/store_watcher.cc
+++ b/src/discovery/store_watcher.cc
@@ -94,7 +94,7 @@
     ReadPage(page.items.back().key);
     return;
   }
-  EndListing();
+  EndListing(page.batch_delay.value_or(Duration(0)));
 }
 
 void StoreWatcher::OnFirstPage(const KvPage& page) {
@@ -108,11 +108,11 @@
   listener_.OnListingBegin();
 }
 
-void StoreWatcher::EndListing() {
+void StoreWatcher::EndListing(Duration delay) {
   watch_revision_ = listing_revision_;
   listed_ = true;
   listener_.OnListingEnd();
-  Watch();
+  WatchAfter(delay);
 }
 
 void StoreWatcher::Watch() {
@@ -153,12 +153,19 @@
   for (const KvItem& it : page.items)
     Apply(it);
   watch_revision_ = std::max(watch_revision_, page.current_revision);
-  if (page.items.empty() || page.is_batched) {
+  if (page.items.empty()) {
+    Watch();
+    return;
+  }
+  WatchAfter(page.batch_delay.value_or(BatchDelay()));
+}
+
+void StoreWatcher::WatchAfter(Duration delay) {
+  if (delay == Duration(0)) {
     Watch();
     return;
   }
   // The delay counts towards the time in which a silent connection is detected.
-  Duration delay = BatchDelay();
   Duration wait = std::max(watch_wait_ - delay, kMinWatchWait);
   timers_.ScheduleAfter(delay, [this, wait, generation = generation_] {
     if (generation == generation_)
--- a/src/discovery/store_watcher.h
+++ b/src/discovery/store_watcher.h
@@ -66,9 +66,11 @@
   void Restart();
   void ReadPage(const std::string& after);
   void OnPage(const std::string& after, KvPage page);
-  void EndListing();
+  // `delay` is the time until the first watch.
+  void EndListing(Duration delay);
   void Watch();
   void WatchFor(Duration wait);
+  void WatchAfter(Duration delay);
   Duration BatchDelay() const;
   void OnEvents(KvPage page);
   void OnFirstPage(const KvPage& page);
--- a/src/relay/relayed_kv_store.cc
+++ b/src/relay/relayed_kv_store.cc
@@ -14,6 +14,7 @@
 // The oldest view from which a reader answers, beyond the wait of its watches.
 constexpr Duration kViewSlack = milliseconds(500);
 constexpr Duration kMinWait = milliseconds(200);
+constexpr Duration kFirstWatchDelay = milliseconds(1000);
 constexpr int kMaxPolls = 2;
 // Two readers report the end of one outage at different times.
 constexpr Duration kSameOutage = std::chrono::seconds(1);
@@ -45,18 +46,32 @@
   return std::min(wait, std::max(options_.reader_wait - ViewAge(), kMinWait));
 }
 
+void RelayedKvStore::Range(const std::string& prefix,
+                           const std::string& after,
+                           std::function<void(KvPage)> done) {
+  store_.Range(prefix, after, [this, done = std::move(done)](KvPage page) {
+    // In a fleet that starts, one watch after this time shows the readers,
+    // where several would report the first registrations.
+    if (options_.choice.min_daemons > 0 && !choice_.HasReaders())
+      page.batch_delay = kFirstWatchDelay;
+    done(std::move(page));
+  });
+}
+
 void RelayedKvStore::Watch(const std::string& prefix,
                            StorePosition after,
                            Duration wait,
                            std::function<void(KvPage)> done) {
-  if (!prefix.empty() || !choice_.HasReaders()) {
-    relay_.OnWatchStopped();
-    SetSource(VmId(), "the zone has no readers");
-    ++stats_.store_watches;
+  if (!prefix.empty()) {
     store_.Watch(prefix, after, wait, std::move(done));
     return;
   }
   UpdateRole();
+  if (!choice_.HasReaders()) {
+    SetSource(VmId(), "the zone has no readers");
+    WatchStore(after, wait, Duration(0), std::move(done));
+    return;
+  }
   if (is_reader_) {
     SetSource(VmId(), "this daemon is a reader");
     WatchStore(after, WatchWait(wait), Duration(0), std::move(done));
@@ -82,11 +97,16 @@
                  if (page.status == KvStatus::kOk)
                    last_answer_ = timers_.Now();
                  page.outage = outage;
+                 // As long as the view is fresh enough for other daemons.
+                 if (is_reader_)
+                   page.batch_delay = options_.reader_wait;
                  KvPage copy = page;
                  // The end of an outage is noted before other daemons get the
                  // changes.
                  done(std::move(copy));
-                 relay_.OnWatchFinished(after, due, page);
+                 // This answer may have shown that the zone has readers.
+                 if (choice_.HasReaders())
+                   relay_.OnWatchFinished(after, due, page);
                });
 }
 
@@ -139,7 +159,8 @@
 KvPage RelayedKvStore::ToPage(ChangesReply reply) {
   KvPage page;
   page.status = KvStatus::kOk;
-  page.is_batched = true;
+  // The reader has collected the changes.
+  page.batch_delay = Duration(0);
   page.outage = NewOutage(reply);
   page.era = reply.current.era;
   page.current_revision = reply.current.revision;
--- a/src/relay/relayed_kv_store.h
+++ b/src/relay/relayed_kv_store.h
@@ -49,9 +49,7 @@
 
   void Range(const std::string& prefix,
              const std::string& after,
-             std::function<void(KvPage)> done) override {
-    store_.Range(prefix, after, std::move(done));
-  }
+             std::function<void(KvPage)> done) override;
   void Watch(const std::string& prefix,
              StorePosition after,
              Duration wait,
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,9 +56,9 @@
   // Also of an answer that refuses the call.
   StoreEra era;
   StoreRevision current_revision;
-  // Whether changes were collected for some time, so that the next watch need
-  // not be delayed to collect more.
-  bool is_batched = false;
+  // How long to wait before the next watch, so that it collects changes, if
+  // these items are not the only ones to come. The caller decides if not set.
+  std::optional<Duration> batch_delay;
   // The store may not have served others for this time until recently.
   Duration outage{};
 };
--- a/tests/unit/relay/relayed_kv_store_test.cc
+++ b/tests/unit/relay/relayed_kv_store_test.cc
@@ -137,6 +137,19 @@
   EXPECT_FALSE(follower->view_.items_.contains("big"));
 }
 
+// Guards against a watch for each part of the registrations when a fleet
+// starts: a listing and one watch show the readers.
+TEST(RelayedKvStoreTest, StartOfFleetTakesTwoCallsEach) {
+  RelayFleet fleet(0);
+  for (int n = 0; n < kFleetSize; ++n) {
+    fleet.Start(VmId("vm" + std::to_string(n)));
+    fleet.store_.Set("fronts/vm" + std::to_string(n), "1");
+    fleet.timers_.AdvanceBy(milliseconds(40));
+  }
+  fleet.timers_.AdvanceBy(seconds(1));
+  EXPECT_LE(fleet.StoreCalls(), 2 * kFleetSize + 6);
+}
+
 TEST(RelayedKvStoreTest, AllRestartedAtOnce) {
   RelayFleet fleet(kFleetSize);
   for (RelayFleet::Vm* it : fleet.Live())
