--- a/src/relay/relayed_kv_store.cc
+++ b/src/relay/relayed_kv_store.cc
@@ -62,14 +62,16 @@
                            StorePosition after,
                            Duration wait,
                            std::function<void(KvPage)> done) {
-  if (!prefix.empty() || !choice_.HasReaders()) {
-    relay_.OnWatchStopped();
-    SetSource(VmId(), "the zone has no readers");
-    ++stats_.store_watches;
+  if (!prefix.empty()) {
     store_.Watch(prefix, after, wait, std::move(done));
     return;
   }
   UpdateRole();
+  if (!choice_.HasReaders()) {
+    SetSource(VmId(), "the zone has no readers");
+    WatchStore(after, wait, Duration(0), std::move(done));
+    return;
+  }
   if (is_reader_) {
     SetSource(VmId(), "this daemon is a reader");
     WatchStore(after, WatchWait(wait), Duration(0), std::move(done));
@@ -102,7 +104,9 @@
                  // The end of an outage is noted before other daemons get the
                  // changes.
                  done(std::move(copy));
-                 relay_.OnWatchFinished(after, due, page);
+                 // This answer may have shown that the zone has readers.
+                 if (choice_.HasReaders())
+                   relay_.OnWatchFinished(after, due, page);
                });
 }
 
