Prefer searchers with an idle connection by the measured cost of a new one

With more VMs than connections of a searcher, a VM with one request a second picked among the searchers of a shard by chance, and about one in four upstream requests opened a connection. ServicePool::Select now adds the difference between the first request on a connection and later ones, measured by route, for searchers without an idle connection.

--- a/src/dispatch/attempt_launcher.cc
+++ b/src/dispatch/attempt_launcher.cc
@@ -37,7 +37,7 @@
   TimePoint now = timers_.Now();
   attempt.searcher->health.OnReply(id, reply, attempt.latency->typical(), now);
   if (reply.outcome == AttemptResult::kSuccess)
-    attempt.latency->Observe(now - attempt.sent_at);
+    attempt.latency->Observe(now - attempt.sent_at, reply.on_new_connection);
   UpdateReachability(attempt, reply, now);
   OnRequestsUnwanted(*attempt.searcher, reply);
   if (attempt.done)
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -60,7 +60,8 @@
   std::shared_ptr<ServicePool>& pool = pools_[name];
   if (!pool) {
     pool = std::make_shared<ServicePool>(name, options_.own_zone, zones_,
-                                         options_.retry_budget, process_start_);
+                                         transport_, options_.retry_budget,
+                                         process_start_);
     pool->budget().set_fleet_size(fleet_size_);
   }
   return pool;
--- a/src/dispatch/searcher_transport.h
+++ b/src/dispatch/searcher_transport.h
@@ -55,6 +55,8 @@
   Duration queue_time{};
   // Set if the attempt was not sent because no connection could be opened.
   bool connect_failed = false;
+  // Whether it was the first request on its connection.
+  bool on_new_connection = false;
 };
 
 // Whether an attempt with this outcome is certain not to have run.
@@ -96,6 +98,9 @@
   virtual bool Cancel(AttemptId attempt) = 0;
   // Whether the request was written to a connection.
   virtual bool IsWritten(AttemptId attempt) const = 0;
+  // Whether an attempt at this searcher could be written now to a connection
+  // that is open already.
+  virtual bool HasIdleConnection(const InstanceId& searcher) const = 0;
   // Tries to open a connection to the searcher and closes it again. Calls
   // `done` once, after Probe has returned, with whether it was opened.
   virtual void Probe(const SearcherEntry& searcher,
--- a/src/dispatch/service_pool.cc
+++ b/src/dispatch/service_pool.cc
@@ -43,7 +43,10 @@
 
 // A failed attempt costs a retry, and often the part or the request. However
 // short the usual latency is, a searcher that fails always is as bad as one
-// that takes the whole target.
+// that takes the whole target. A VM with few requests keeps to the searchers to
+// which it has connections, unless another one is faster by what a connection
+// costs: with more VMs than a searcher accepts connections, nearly every
+// request would open one otherwise, and the searcher would close another VM's.
 PooledSearcherPtr ServicePool::Select(std::span<const PooledSearcherPtr> tried,
                                       const RouteLatency& latency,
                                       TimePoint now,
@@ -51,12 +54,16 @@
   std::uniform_real_distribution<double> jitter(1.0, 1.0 + kScoreJitter);
   PooledSearcherPtr best;
   Duration best_score = Duration::max();
+  Duration connection_cost = latency.NewConnectionCost();
   for (const PooledSearcherPtr& it : searchers_) {
     if (!it->health.IsAvailable(now) ||
         std::find(tried.begin(), tried.end(), it) != tried.end())
       continue;
     Duration score = it->health.ExpectedLatency(latency.typical(), now);
     score += Scale(latency.target(), it->health.failure_rate());
+    if (connection_cost > Duration(0) &&
+        !transport_.HasIdleConnection(it->entry.id))
+      score += connection_cost;
     if (it->entry.zone != own_zone_)
       score += latency.target() / kCrossZonePenaltyDivisor;
     score = Scale(score, jitter(random));
--- a/src/dispatch/service_pool.h
+++ b/src/dispatch/service_pool.h
@@ -28,11 +28,13 @@
   ServicePool(ServiceName name,
               ZoneName own_zone,
               const ZoneReachability& zones,
+              const SearcherTransport& transport,
               const RetryBudgetOptions& budget,
               TimePoint process_start)
       : name_(std::move(name)),
         own_zone_(std::move(own_zone)),
         zones_(zones),
+        transport_(transport),
         budget_(budget, process_start) {}
 
   void Add(PooledSearcherPtr searcher);
@@ -41,7 +43,7 @@
   PooledSearcherPtr Find(const InstanceId& id) const;
 
   // The available searcher with the lowest expected latency that is not in
-  // `tried`, or null.
+  // `tried`, or null. Opening a connection counts towards the latency.
   PooledSearcherPtr Select(std::span<const PooledSearcherPtr> tried,
                            const RouteLatency& latency,
                            TimePoint now,
@@ -66,6 +68,7 @@
   ServiceName name_;
   ZoneName own_zone_;
   const ZoneReachability& zones_;
+  const SearcherTransport& transport_;
   std::vector<PooledSearcherPtr> searchers_;
   FleetRetryBudget budget_;
 };
--- a/src/egress/http_searcher_transport.cc
+++ b/src/egress/http_searcher_transport.cc
@@ -62,6 +62,12 @@
   return it != attempts_.end() && it->second->IsWritten(attempt);
 }
 
+bool HttpSearcherTransport::HasIdleConnection(
+    const InstanceId& searcher) const {
+  auto it = searchers_.find(searcher);
+  return it != searchers_.end() && it->second->HasIdle();
+}
+
 void HttpSearcherTransport::Probe(const SearcherEntry& searcher,
                                   std::function<void(bool)> done) {
   auto connection = std::make_shared<ClientConnection>(context_, 0);
--- a/src/egress/http_searcher_transport.h
+++ b/src/egress/http_searcher_transport.h
@@ -23,6 +23,7 @@
             ReplyHandler done) override;
   bool Cancel(AttemptId attempt) override;
   bool IsWritten(AttemptId attempt) const override;
+  bool HasIdleConnection(const InstanceId& searcher) const override;
   void Probe(const SearcherEntry& searcher,
              std::function<void(bool)> done) override;
   void SetConnectionLimit(const SearcherEntry& searcher, int limit) override;
--- a/src/egress/searcher_connections.cc
+++ b/src/egress/searcher_connections.cc
@@ -202,6 +202,7 @@
     ++stats_.exchanges_broken;
   AttemptReply reply = Decode(std::move(exchange));
   reply.queue_time = it->sent_at - attempt.queued_at;
+  reply.on_new_connection = it->request_ids.size() == 1;
   // A searcher that wants no more requests gets none of the queued ones before
   // the reply has been handled.
   bool wants_more = !reply.leaving && !reply.retry_after;
@@ -253,6 +254,14 @@
                      });
 }
 
+bool SearcherConnections::HasIdle() const {
+  return std::any_of(
+      connections_.begin(), connections_.end(), [this](const Connection& it) {
+        return it.client->state() == ClientConnection::State::kIdle &&
+               !IsStale(it);
+      });
+}
+
 void SearcherConnections::ReturnQueued(const std::string& reason) {
   timers_.Cancel(expiry_timer_);
   ReturnUnsent(queued_.TakeAll(), reason);
--- a/src/egress/searcher_connections.h
+++ b/src/egress/searcher_connections.h
@@ -36,6 +36,8 @@
             SearcherTransport::ReplyHandler done);
   bool Cancel(AttemptId attempt);
   bool IsWritten(AttemptId attempt) const;
+  // Whether a connection is open, not busy and not stale.
+  bool HasIdle() const;
   void set_connection_limit(int limit) { connection_limit_ = limit; }
   // Ends the queued attempts with kNotSent.
   void ReturnQueued(const std::string& reason);
--- a/tests/unit/dispatch/fake_searcher_transport.h
+++ b/tests/unit/dispatch/fake_searcher_transport.h
@@ -22,9 +22,10 @@
 
   void Send(AttemptId attempt,
             const SearcherEntry& searcher,
-            ForwardedRequestPtr,
+            ForwardedRequestPtr request,
             const AttemptOptions& attempt_options,
             ReplyHandler done) override {
+    last_request_ = std::move(request);
     send_order_.push_back(searcher.id.value());
     pending_.emplace(
         attempt, PendingAttempt{searcher, attempt_options, std::move(done)});
@@ -36,6 +37,13 @@
   bool IsWritten(AttemptId attempt) const override {
     return writes_ && pending_.contains(attempt);
   }
+  bool HasIdleConnection(const InstanceId& searcher) const override {
+    return connected_.contains(searcher.value());
+  }
+  // Simulates connections: the first attempt at a searcher opens one.
+  void KeepConnections() { keeps_connections_ = true; }
+  void CloseConnections() { connected_.clear(); }
+  int connections() const { return static_cast<int>(connected_.size()); }
   // Attempts get no connection from now on.
   void StopWriting() { writes_ = false; }
   // Probes succeed unless told otherwise.
@@ -69,6 +77,8 @@
         continue;
       ReplyHandler done = std::move(it->second.done);
       pending_.erase(it);
+      if (keeps_connections_)
+        reply.on_new_connection = connected_.insert(searcher).second;
       done(std::move(reply));
       return true;
     }
@@ -96,6 +106,7 @@
 
   const std::vector<std::string>& send_order() const { return send_order_; }
   std::map<AttemptId, PendingAttempt>& pending() { return pending_; }
+  const ForwardedRequestPtr& last_request() const { return last_request_; }
   int cancelled() const { return cancelled_; }
   int limit(const std::string& searcher) const { return limits_.at(searcher); }
 
@@ -105,6 +116,9 @@
   std::map<std::string, int> limits_;
   std::set<ZoneName> unreachable_zones_;
   std::vector<std::string> probed_;
+  ForwardedRequestPtr last_request_;
+  std::set<std::string> connected_;
+  bool keeps_connections_ = false;
   int cancelled_ = 0;
   bool writes_ = true;
 };
