Hand queries over to VMs of the zone that answer them sooner

A VM with a twelfth of a core takes 50 ms for a gather of 36 shards, against a target of 60 ms, while the large VMs of its zone are idle. A new subsystem hands whole queries over to them at listen.queries, by measured times; see docs/design/query-handover.md. It is off without listen.queries.

HandoverPolicy decides on simulated zones (handover_policy_test), the rest is tested over loopback connections (query_handover_test).

--- a/src/discovery/daemon_entry.h
+++ b/src/discovery/daemon_entry.h
@@ -17,6 +17,8 @@
   std::optional<SocketAddress> peer_address;
   // Where it takes over queries from other entry daemons, if it does.
   std::optional<SocketAddress> query_address;
+  // Share of a processor core that its VM has, or 0 if unknown.
+  double cpu_share = 0.0;
 };
 
 }  // namespace jujubecove
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -16,6 +16,9 @@
 constexpr Duration kLogFlushInterval = milliseconds(100);
 constexpr std::size_t kOperationsConnections = 64;
 constexpr std::size_t kPeerConnections = 1024;
+// Of the connections and of the memory for replies, the part for queries that
+// pass between VMs.
+constexpr std::size_t kHandoverShare = 4;
 // The balancer checks readiness every second and removes a VM after two failed
 // checks.
 constexpr Duration kBalancerRemovalTime = milliseconds(2400);
@@ -82,6 +85,15 @@
                       kOperationsConnections),
       peer_server_(context_, timers_, kPeerConnections),
       peer_client_(context_, timers_),
+      handover_(context_,
+                timers_,
+                dispatcher_,
+                discovery_.fleet(),
+                peer_server_,
+                peer_client_,
+                log_,
+                registry_,
+                MakeHandoverOptions()),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   dispatcher_.SetLeavingHandler([this](const SearcherEntry& entry) {
     discovery_.OnSearcherLeaving(entry);
@@ -116,9 +128,23 @@
     entry.peer_address = config_.listen_peers;
   if (config_.listen_queries.port != 0)
     entry.query_address = config_.listen_queries;
+  entry.cpu_share = config_.cpu_share;
   return entry;
 }
 
+HandoverOptions FrontDaemon::MakeHandoverOptions() const {
+  HandoverOptions handover;
+  handover.vm = config_.vm;
+  handover.zone = config_.zone;
+  // Peers are asked for their load at the other address.
+  if (config_.listen_peers.port != 0)
+    handover.listen = config_.listen_queries;
+  handover.max_connections = config_.max_connections / kHandoverShare;
+  handover.max_reply_memory = config_.max_reply_memory / kHandoverShare;
+  handover.seed = SystemSeed();
+  return handover;
+}
+
 FrontDaemon::~FrontDaemon() {
   SetLogOutput(nullptr);
 }
@@ -134,6 +160,8 @@
     listening = metrics_server_.Listen(config_.listen_metrics);
   if (listening && config_.listen_peers.port != 0)
     listening = peer_server_.Listen(config_.listen_peers);
+  if (listening)
+    listening = handover_.Start();
   if (!listening)
     return listening;
   DecisionLine(log_, LogCategory::kDaemon, DecisionPriority::kStateChange,
@@ -171,7 +199,7 @@
     ForwardedRequestPtr request,
     RequestRun::AnswerHandler done) {
   if (!draining_ || CanFinish(*request))
-    return dispatcher_.Submit(std::move(request), std::move(done));
+    return handover_.Submit(std::move(request), std::move(done));
   done(RefusalWhileStopping());
   return nullptr;
 }
@@ -286,6 +314,7 @@
                "draining", drain_started_)
       .Add("connections", caller_server_.connections());
   discovery_.Leave([] {});
+  handover_.BeginDrain();
   timers_.ScheduleAfter(kBalancerRemovalTime, [this] { ContinueDrain(); });
   timers_.ScheduleAfter(config_.drain_grace - kAnswerBeforeKill,
                         [this] { EndDrain(); });
@@ -294,17 +323,20 @@
 void FrontDaemon::ContinueDrain() {
   caller_server_.StopAccepting();
   caller_server_.CloseIdle(kDrainIdleTimeout);
-  if (caller_server_.connections() == 0) {
+  if (caller_server_.connections() == 0 && handover_.taken_over() == 0) {
     context_.stop();
     return;
   }
-  if (IsPastCutoff())
+  if (IsPastCutoff()) {
     caller_server_.RefuseIfNotRun();
+    handover_.RefuseIfNotRun();
+  }
   timers_.ScheduleAfter(kDrainCheckInterval, [this] { ContinueDrain(); });
 }
 
 void FrontDaemon::EndDrain() {
   caller_server_.EndNow();
+  handover_.EndNow();
   timers_.ScheduleAfter(kAnswerBeforeKill - kExitBeforeKill,
                         [this] { context_.stop(); });
 }
--- a/src/front/front_daemon.h
+++ b/src/front/front_daemon.h
@@ -12,6 +12,7 @@
 #include "front/front_metrics.h"
 #include "front/front_settings.h"
 #include "front/operations_host.h"
+#include "handover/query_handover.h"
 #include "ingress/ingress_server.h"
 #include "kernel/asio_timer_service.h"
 #include "peer/peer_client.h"
@@ -48,6 +49,7 @@
  private:
   DiscoveryClient::Callbacks DiscoveryCallbacks();
   DaemonEntry OwnEntry() const;
+  HandoverOptions MakeHandoverOptions() const;
   CallerAnswer AnswerOperations(const std::string& path);
   void WaitForSignal();
   void Reload();
@@ -88,6 +90,7 @@
   IngressServer metrics_server_;
   PeerServer peer_server_;
   PeerClient peer_client_;
+  QueryHandover handover_;
   boost::asio::signal_set signals_;
   IngressLimits default_limits_;
   bool draining_ = false;
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -36,6 +36,15 @@
      .doc = "Memory of this process. Replies of searchers that are being "
             "received take at most an eighth of it."});
 
+const Setting<double> kCpuShare(
+    {.section = "vm",
+     .key = "cpu_share",
+     .default_value = 0.0,
+     .accepted = {.min = 0.0, .max = 1e4},
+     .doc = "Share of a processor core that this VM has. Other entry daemons "
+            "ask larger VMs first whether these answer queries sooner. 0 means "
+            "unknown."});
+
 const Setting<SocketAddress> kCallers(
     {.section = "listen",
      .key = "callers",
@@ -164,7 +173,7 @@
 const SettingsSchema& FrontSchema() {
   static const SettingsSchema kSchema = {
       {.type = "vm",
-       .settings = {&kVmId, &kZone, &kMaxDescriptors, &kMemory},
+       .settings = {&kVmId, &kZone, &kMaxDescriptors, &kMemory, &kCpuShare},
        .doc = "The VM."},
       {.type = "listen",
        .settings = {&kCallers, &kReadiness, &kMetrics, &kPeers, &kQueries},
@@ -196,6 +205,7 @@
   config.listen_metrics = settings.Get(kMetrics);
   config.listen_peers = settings.Get(kPeers);
   config.listen_queries = settings.Get(kQueries);
+  config.cpu_share = settings.Get(kCpuShare);
   config.store = settings.Get(kStore);
   config.store_call_timeout = settings.Get(kStoreCallTimeout);
   config.store_watch_wait = std::max(
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -21,6 +21,8 @@
   SocketAddress listen_peers;
   // Where other entry daemons hand over queries. Port 0 disables it.
   SocketAddress listen_queries;
+  // Share of a processor core, or 0 if unknown.
+  double cpu_share = 0.0;
   SocketAddress store;
   Duration store_call_timeout{};
   Duration store_watch_wait{};
--- a/src/platform/registration_codec.cc
+++ b/src/platform/registration_codec.cc
@@ -28,6 +28,7 @@
 constexpr std::int64_t kMaxExactInteger = 1LL << 53U;
 constexpr double kMaxWeight = 1e9;
 constexpr double kMaxRate = 1e9;
+constexpr double kMaxCpuShare = 1e4;
 
 const json::array* ArrayField(const json::object& object,
                               std::string_view name) {
@@ -324,6 +325,8 @@
     object["PeerAddress"] = entry.peer_address->ToString();
   if (entry.query_address)
     object["QueryAddress"] = entry.query_address->ToString();
+  if (entry.cpu_share > 0.0)
+    object["CpuShare"] = entry.cpu_share;
   return json::serialize(object);
 }
 
@@ -341,6 +344,7 @@
       ParseIncarnation(reader.OptionalText("Incarnation", 20, "")));
   entry.peer_address = OptionalAddress(reader, "PeerAddress");
   entry.query_address = OptionalAddress(reader, "QueryAddress");
+  entry.cpu_share = reader.OptionalNumber("CpuShare", {0.0, kMaxCpuShare}, 0.0);
   if (!reader.error().empty())
     return BadRequest(reader.error());
   return entry;
