--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -45,6 +45,8 @@
   SettingsSource(std::string file, std::vector<std::string> values = {})
       : path(std::move(file)), overrides(std::move(values)) {}
 
+  SettingsSource(const char* file) : path(file) {}
+
   std::string path;
   std::vector<std::string> overrides;
 };
