Try larger VMs, and count the handshake of a caller's new connection

Any measured gain is now enough for a peer with twice the processor share, and it gets a few queries without one.

A quarter of sub-lookup was answered at 51 ms, with parts left out, and still late: their callers had opened a connection, which takes a round trip more. The target of such a request is now earlier by that.

--- a/src/dispatch/forwarded_request.h
+++ b/src/dispatch/forwarded_request.h
@@ -28,6 +28,8 @@
   // Relative to `received`, as given by the caller.
   std::optional<Duration> deadline;
   TimePoint received{};
+  // Whether its caller opened a connection for it.
+  bool on_new_connection = false;
 };
 
 using ForwardedRequestPtr = std::shared_ptr<const ForwardedRequest>;
--- a/src/dispatch/request_run.cc
+++ b/src/dispatch/request_run.cc
@@ -34,8 +34,10 @@
   Duration wait =
       std::min(route().timeout, request.deadline.value_or(route().timeout));
   deadline_ = request.received + wait - context_.options.deadline_margin;
+  // A caller that opened a connection has waited for one round trip more.
+  int round_trips = request.on_new_connection ? 2 : 1;
   target_time_ = request.received + route().target_latency -
-                 context_.options.caller_round_trip;
+                 context_.options.caller_round_trip * round_trips;
 }
 
 void RequestRun::Begin() {
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -136,6 +136,7 @@
   HandoverOptions handover;
   handover.vm = config_.vm;
   handover.zone = config_.zone;
+  handover.cpu_share = config_.cpu_share;
   // Peers are asked for their load at the other address.
   if (config_.listen_peers.port != 0)
     handover.listen = config_.listen_queries;
--- a/src/handover/handover_policy.cc
+++ b/src/handover/handover_policy.cc
@@ -16,10 +16,16 @@
 // A query is handed over if that saves more than this share of the target, and
 // always from twice that on. In between, chance decides, so that the VMs do not
 // all turn to the same peer at the same moment.
-constexpr double kMinGainShare = 0.1;
+constexpr double kMinGainShare = 0.05;
 // A peer also has to take less than this share of the time here, because
 // averages over few queries differ by chance.
-constexpr double kMaxTimeShare = 0.75;
+constexpr double kMaxTimeShare = 0.85;
+// A VM whose processor has this multiple of the share of this one's counts as
+// larger. It also gets this share of the queries if it is slower, up to this
+// multiple of the time here.
+constexpr double kLargerFactor = 2.0;
+constexpr double kTrialShare = 0.15;
+constexpr double kMaxTrialTime = 1.5;
 // Share of the queries that this VM runs in spite of a better peer, so that its
 // own times stay known.
 constexpr double kOwnShare = 0.04;
@@ -42,6 +48,8 @@
 // period.
 constexpr Duration kRotation = seconds(60);
 constexpr std::uint64_t kHashMultiplier = 0x9e3779b97f4a7c15;
+// A peer that takes this multiple of its usual time is taken for gone.
+constexpr int kPatience = 4;
 constexpr double kHopWeight = 0.2;
 constexpr Duration kBusyTime = milliseconds(500);
 constexpr Duration kSuspectTime = seconds(2);
@@ -70,8 +78,28 @@
 
 }  // namespace
 
-HandoverPolicy::HandoverPolicy(VmId self, std::uint64_t seed)
-    : self_(std::move(self)), random_(seed) {}
+HandoverPolicy::HandoverPolicy(VmId self, double cpu_share, std::uint64_t seed)
+    : self_(std::move(self)), cpu_share_(cpu_share), random_(seed) {}
+
+bool HandoverPolicy::IsLarger(const Peer& peer) const {
+  return cpu_share_ > 0.0 && peer.info.cpu_share >= kLargerFactor * cpu_share_;
+}
+
+bool HandoverPolicy::IsWorthwhile(const Peer& peer,
+                                  Duration there,
+                                  Duration here,
+                                  Duration target) {
+  std::uniform_real_distribution<double> chance(0.0, 1.0);
+  if (IsLarger(peer)) {
+    return there < here || (there < Scale(here, kMaxTrialTime) &&
+                            chance(random_) < kTrialShare);
+  }
+  if (there > Scale(here, kMaxTimeShare))
+    return false;
+  double gain = ToMilliseconds(here - there) /
+                ToMilliseconds(Scale(target, kMinGainShare));
+  return gain - 1.0 > chance(random_);
+}
 
 void HandoverPolicy::SetPeers(const std::vector<HandoverPeer>& peers) {
   std::map<VmId, Peer> kept;
@@ -137,7 +165,7 @@
 
 Duration HandoverPolicy::AskInterval(const Peer& peer,
                                      const HandoverQuery& query,
-                                     TimePoint now) {
+                                     TimePoint now) const {
   if (!peer.report)
     return kAskInterval;
   if (peer.report->version != query.version)
@@ -146,7 +174,8 @@
     return kEarlyAskInterval;
   std::optional<Duration> here = TimeOf(query.own_times, query.route, true);
   std::optional<Duration> there = Expected(peer, query, now);
-  bool is_slower = here && there && *there > Scale(*here, kMaxTimeShare);
+  bool is_slower =
+      !IsLarger(peer) && here && there && *there > Scale(*here, kMaxTimeShare);
   return is_slower ? kSlowAskInterval : kAskInterval;
 }
 
@@ -179,7 +208,7 @@
   Duration best_score = Duration::max();
   for (Peer* it : Candidates(query, now)) {
     std::optional<Duration> there = Expected(*it, query, now);
-    if (!there || *there > Scale(*here, kMaxTimeShare))
+    if (!there || !IsWorthwhile(*it, *there, *here, query.target))
       continue;
     Duration score = Scale(*there, jitter(random_));
     if (score < best_score) {
@@ -187,12 +216,8 @@
       best = HandoverChoice{it->info.vm, *there, *here};
     }
   }
-  if (!best)
-    return std::nullopt;
-  double gain = ToMilliseconds(best->here - best->there) /
-                ToMilliseconds(Scale(query.target, kMinGainShare));
-  std::uniform_real_distribution<double> chance(0.0, 1.0);
-  if (gain - 1.0 <= chance(random_) || chance(random_) < kOwnShare)
+  std::bernoulli_distribution runs_here(kOwnShare);
+  if (runs_here(random_))
     return std::nullopt;
   return best;
 }
@@ -269,7 +294,8 @@
                                      const HandoverChoice& choice,
                                      TimePoint received,
                                      TimePoint now) {
-  return std::max(received + query.target * 3 / 2, now + choice.there * 2);
+  Duration usual = std::min(choice.there * kPatience, query.target * 2);
+  return std::max(received + query.target * 3 / 2, now + usual);
 }
 
 }  // namespace jujubecove
--- a/src/handover/handover_policy.h
+++ b/src/handover/handover_policy.h
@@ -45,11 +45,15 @@
 // All times are measured. A peer's time is its own average over the queries
 // that it runs, plus the hop as measured by this VM. A query is handed over
 // only if that is clearly shorter than its run here, so nothing is in a fleet
-// of equal VMs. Peers are asked for their times by small calls, few and seldom;
-// a peer that failed is asked again before it gets another query.
+// of equal VMs. For a VM with a larger processor any gain is enough, and a few
+// queries go there without one: as long as it runs few, it opens connections
+// for most of them, and is slower than it could be. Peers are asked for their
+// times by small calls, few and seldom; a peer that failed is asked again
+// before it gets another query.
 class HandoverPolicy {
  public:
-  HandoverPolicy(VmId self, std::uint64_t seed);
+  // `cpu_share` is that of this VM, or 0 if unknown.
+  HandoverPolicy(VmId self, double cpu_share, std::uint64_t seed);
 
   // Peers that are no longer listed, or restarted, are forgotten.
   void SetPeers(const std::vector<HandoverPeer>& peers);
@@ -104,13 +108,21 @@
   static std::optional<Duration> Expected(const Peer& peer,
                                           const HandoverQuery& query,
                                           TimePoint now);
-  static Duration AskInterval(const Peer& peer,
-                              const HandoverQuery& query,
-                              TimePoint now);
+  Duration AskInterval(const Peer& peer,
+                       const HandoverQuery& query,
+                       TimePoint now) const;
   // The peers to consider, the most promising first.
   std::vector<Peer*> Candidates(const HandoverQuery& query, TimePoint now);
 
+  bool IsLarger(const Peer& peer) const;
+  // Whether a query may go to a peer that takes this time.
+  bool IsWorthwhile(const Peer& peer,
+                    Duration there,
+                    Duration here,
+                    Duration target);
+
   VmId self_;
+  double cpu_share_;
   RandomEngine random_;
   std::map<VmId, Peer> peers_;
 };
--- a/src/handover/handover_protocol.cc
+++ b/src/handover/handover_protocol.cc
@@ -13,6 +13,7 @@
 constexpr char kId[] = "Jujubecove-Handover-Id";
 constexpr char kElapsedUs[] = "Jujubecove-Handover-Elapsed-Us";
 constexpr char kDeadlineUs[] = "Jujubecove-Handover-Deadline-Us";
+constexpr char kNewConnection[] = "Jujubecove-Handover-New-Connection";
 constexpr char kWorkspace[] = "Jujubecove-Handover-Workspace";
 // Of a request, and of a reply: the configuration in force.
 constexpr char kVersion[] = "Jujubecove-Handover-Config";
@@ -129,6 +130,8 @@
   out->headers.push_back({kElapsedUs, ToText(now - request.received)});
   if (request.deadline)
     out->headers.push_back({kDeadlineUs, ToText(*request.deadline)});
+  if (request.on_new_connection)
+    out->headers.push_back({kNewConnection, "1"});
   if (request.workspace)
     out->headers.push_back({kWorkspace, request.workspace->value()});
   return out;
@@ -194,6 +197,7 @@
     return Error{ErrorKind::kBadRequest, "not a query of an entry daemon"};
   out.received = received - *elapsed;
   out.deadline = ParseDuration(FindHeader(request.headers, kDeadlineUs));
+  out.on_new_connection = !FindHeader(request.headers, kNewConnection).empty();
   std::string_view workspace = FindHeader(request.headers, kWorkspace);
   if (!workspace.empty())
     out.workspace = WorkspaceName(std::string(workspace));
--- a/src/handover/local_runs.h
+++ b/src/handover/local_runs.h
@@ -30,9 +30,7 @@
 
   // Scattered queries that are not answered yet.
   int in_progress() const { return static_cast<int>(active_.use_count()) - 1; }
-  std::map<std::string, Duration> times() const {
-    return times_.Get(timers_.Now());
-  }
+  const RunTimes& times() const { return times_; }
   // Moving average of the time that this VM takes to send the parts of one
   // query. Zero if it is unknown.
   Duration SendTime(const std::string& route) const;
--- a/src/handover/query_handover.cc
+++ b/src/handover/query_handover.cc
@@ -40,7 +40,7 @@
       options_(std::move(options)),
       metrics_(registry),
       runs_(timers, dispatcher),
-      policy_(options_.vm, options_.seed),
+      policy_(options_.vm, options_.cpu_share, options_.seed),
       transport_(context, timers, protocol_, options_.max_reply_memory),
       context_{timers_,
                transport_,
@@ -59,15 +59,15 @@
 Result<void> QueryHandover::Start() {
   if (!enabled())
     return boost::outcome_v2::success();
-  peer_server_.Handle(kLoadPath,
-                      [this](const PeerRequest&, const PeerServer::Done& done) {
-                        LoadReport report;
-                        if (runs_.table())
-                          report.version = runs_.table()->version();
-                        report.draining = draining_;
-                        report.route_times = runs_.times();
-                        done({kStatusOk, EncodeLoadReport(report)});
-                      });
+  peer_server_.Handle(
+      kLoadPath, [this](const PeerRequest&, const PeerServer::Done& done) {
+        LoadReport report;
+        if (runs_.table())
+          report.version = runs_.table()->version();
+        report.draining = draining_;
+        report.route_times = runs_.times().Higher(timers_.Now());
+        done({kStatusOk, EncodeLoadReport(report)});
+      });
   fleet_.Subscribe([this] { OnFleetChange(); });
   OnFleetChange();
   return server_.Listen(options_.listen);
@@ -102,7 +102,8 @@
   if (route == nullptr || draining_ || request->method == "HEAD")
     return runs_.Submit(std::move(request), std::move(done));
   HandoverQuery query{route->name, route->target_latency,
-                      runs_.table()->version(), runs_.times()};
+                      runs_.table()->version(),
+                      runs_.times().Lower(timers_.Now())};
   AskPeers(query);
   std::optional<HandoverChoice> choice = policy_.Choose(query, timers_.Now());
   if (!choice)
--- a/src/handover/query_handover.h
+++ b/src/handover/query_handover.h
@@ -16,6 +16,8 @@
 struct HandoverOptions {
   VmId vm;
   ZoneName zone;
+  // Share of a processor core, or 0 if unknown.
+  double cpu_share = 0.0;
   // Port 0 turns hand-overs off, in both directions.
   SocketAddress listen;
   std::size_t max_connections = 0;
--- a/src/handover/run_times.h
+++ b/src/handover/run_times.h
@@ -15,10 +15,13 @@
                Duration took,
                Duration target,
                TimePoint now);
-  // The recent time of a route, or the usual one if it has not run recently: a
-  // VM that was slow for a moment, and hands its queries over since, would not
-  // notice otherwise that it is fast again. Empty before enough runs.
-  std::map<std::string, Duration> Get(TimePoint now) const;
+  // By route, the lower and the higher one of the recent and the usual time. A
+  // difference between two VMs that holds for both is not one of chance. A time
+  // is recent for some seconds only, because a VM that was slow for a moment,
+  // and hands its queries over since, would not notice that it is fast again.
+  // Empty before enough runs.
+  std::map<std::string, Duration> Lower(TimePoint now) const;
+  std::map<std::string, Duration> Higher(TimePoint now) const;
 
  private:
   struct Measure {
@@ -28,6 +31,9 @@
     TimePoint updated{};
   };
 
+  using Pick = const double& (*)(const double&, const double&);
+  std::map<std::string, Duration> Get(TimePoint now, Pick pick) const;
+
   // By route name.
   std::map<std::string, Measure> measures_;
   int observations_ = 0;
--- a/src/handover/takeover_server.cc
+++ b/src/handover/takeover_server.cc
@@ -43,7 +43,7 @@
   if (runs_.table())
     report.version = runs_.table()->version();
   report.draining = draining_;
-  std::map<std::string, Duration> times = runs_.times();
+  std::map<std::string, Duration> times = runs_.times().Higher(timers_.Now());
   auto it = times.find(route);
   if (it != times.end())
     report.route_times.insert(*it);
--- a/src/ingress/caller_protocol.h
+++ b/src/ingress/caller_protocol.h
@@ -13,6 +13,8 @@
   std::string target;
   HeaderFields headers;
   std::string body;
+  // Whether the caller opened the connection for it.
+  bool on_new_connection = false;
 };
 
 // The answer as it is written to the connection.
--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t kUnparsedReserve = 4096;
 // Time for the caller to close after the last answer of a connection.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+// Between the end of the handshake and the first request.
+constexpr Duration kMaxHandshakeTime = std::chrono::milliseconds(100);
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
 
@@ -45,7 +47,8 @@
       host_(host),
       protocol_(protocol),
       closed_(std::move(closed)),
-      last_progress_(timers.Now()) {}
+      accepted_(timers.Now()),
+      last_progress_(accepted_) {}
 
 void IngressConnection::Start() {
   error_code ignored;
@@ -206,6 +209,9 @@
         HeaderField{std::string(it.name_string()), std::string(it.value())});
   }
   raw.body = std::move(message.body());
+  // A caller that had the connection in reserve did not wait for it.
+  raw.on_new_connection = std::exchange(first_request_, false) &&
+                          timers_.Now() - accepted_ < kMaxHandshakeTime;
   Result<ForwardedRequest> request =
       protocol_.DecodeRequest(std::move(raw), timers_.Now());
   if (!request) {
--- a/src/ingress/ingress_connection.h
+++ b/src/ingress/ingress_connection.h
@@ -92,6 +92,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   TimePoint request_started_{};
+  TimePoint accepted_{};
+  bool first_request_ = true;
   TimePoint last_progress_{};
   std::string request_id_;
   bool head_only_ = false;
--- a/src/platform/http_protocol.cc
+++ b/src/platform/http_protocol.cc
@@ -142,6 +142,7 @@
   if (!request.body.empty())
     out.body = std::make_shared<const std::string>(std::move(request.body));
   out.received = received;
+  out.on_new_connection = request.on_new_connection;
   return out;
 }
 
--- a/tests/unit/handover/query_handover_test.cc
+++ b/tests/unit/handover/query_handover_test.cc
@@ -55,7 +55,7 @@
     own.incarnation = IncarnationId(1);
     own.peer_address = FreeAddress();
     own.query_address = FreeAddress();
-    HandoverOptions options{own.vm, own.zone,  *own.query_address,
+    HandoverOptions options{own.vm, own.zone,  0.0, *own.query_address,
                             8,      1U << 20U, 1};
     handover = std::make_unique<QueryHandover>(context, timers, dispatcher,
                                                fleet, peer_server, peer_client,
--- a/tests/unit/handover/simulated_zone.h
+++ b/tests/unit/handover/simulated_zone.h
@@ -26,13 +26,14 @@
   enum class State { kRunning, kKilled, kDraining };
 
   struct Vm {
-    Vm(const VmId& id, std::uint64_t seed) : policy(id, seed) {}
-    double share = 0.0;
+    Vm(const VmId& id, double cpu_share, std::uint64_t seed)
+        : share(cpu_share), policy(id, cpu_share, seed) {}
+    double share;
     HandoverPolicy policy;
     State state = State::kRunning;
     ConfigVersion version{1};
     LoadReport Report(TimePoint now) const {
-      return {version, state == State::kDraining, times.Get(now)};
+      return {version, state == State::kDraining, times.Higher(now)};
     }
     RunTimes times;
     TimePoint busy_until{};
@@ -47,8 +48,7 @@
     std::vector<HandoverPeer> peers;
     for (std::size_t n = 0; n < shares.size(); ++n) {
       VmId id("vm" + std::to_string(n));
-      vms_.push_back(std::make_unique<Vm>(id, n + 1));
-      vms_.back()->share = shares[n];
+      vms_.push_back(std::make_unique<Vm>(id, shares[n], n + 1));
       peers.push_back({id, IncarnationId(1), shares[n]});
     }
     for (const std::unique_ptr<Vm>& it : vms_)
@@ -106,7 +106,7 @@
     Vm& from = vm(n);
     ++outcome->asked;
     TimePoint now = timers_.Now();
-    HandoverQuery query{"r", kTarget, from.version, from.times.Get(now)};
+    HandoverQuery query{"r", kTarget, from.version, from.times.Lower(now)};
     for (const VmId& it : from.policy.TakePeersToAsk(query, now))
       AskLoad(from, it);
     std::optional<HandoverChoice> choice = from.policy.Choose(query, now);
