--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -62,9 +62,9 @@
     const ServiceName& name) {
   std::shared_ptr<ServicePool>& pool = pools_[name];
   if (!pool) {
-    pool =
-        std::make_shared<ServicePool>(name, options_.own_zone, zones_, policy_,
-                                      options_.retry_budget, process_start_);
+    pool = std::make_shared<ServicePool>(name, options_.own_zone, zones_,
+                                         policy_, transport_,
+                                         options_.retry_budget, process_start_);
     pool->budget().set_fleet_size(fleet_size_);
   }
   return pool;
--- a/src/dispatch/service_pool.h
+++ b/src/dispatch/service_pool.h
@@ -30,12 +30,14 @@
               ZoneName own_zone,
               const ZoneReachability& zones,
               const ZonePolicy& policy,
+              const SearcherTransport& transport,
               const RetryBudgetOptions& budget,
               TimePoint process_start)
       : name_(std::move(name)),
         own_zone_(std::move(own_zone)),
         zones_(zones),
         policy_(policy),
+        transport_(transport),
         budget_(budget, process_start) {}
 
   void Add(PooledSearcherPtr searcher);
@@ -45,6 +47,7 @@
 
   // The available searcher with the lowest expected latency that is not in
   // `tried` and may be sent a request with this limit of regions, or null.
+  // Opening a connection counts towards the latency.
   PooledSearcherPtr Select(std::span<const PooledSearcherPtr> tried,
                            const RouteLatency& latency,
                            TimePoint now,
@@ -80,6 +83,7 @@
   ZoneName own_zone_;
   const ZoneReachability& zones_;
   const ZonePolicy& policy_;
+  const SearcherTransport& transport_;
   std::vector<PooledSearcherPtr> searchers_;
   FleetRetryBudget budget_;
 };
--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -18,6 +18,9 @@
 // Memory that a caller's connection may take also when that of all connections
 // is used up: an ordinary request fits.
 constexpr std::size_t kMinMemoryPerConnection = 8192;
+// Of the connections and of the memory for replies, the part for queries that
+// pass between VMs.
+constexpr std::size_t kHandoverShare = 4;
 // The balancer checks readiness every second and removes a VM after two failed
 // checks.
 constexpr Duration kBalancerRemovalTime = milliseconds(2400);
@@ -109,6 +112,15 @@
              own_entry_,
              discovery_.fleet(),
              [this] { return discovery_.view_confirmed_at(); }),
+      handover_(context_,
+                timers_,
+                dispatcher_,
+                discovery_.fleet(),
+                peer_server_,
+                peer_client_,
+                log_,
+                registry_,
+                MakeHandoverOptions()),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {
   dispatcher_.SetLeavingHandler([this](const SearcherEntry& entry) {
     discovery_.OnSearcherLeaving(entry);
@@ -167,9 +179,24 @@
     entry.peer_address = config_.listen_peers;
   if (config_.listen_queries.port != 0)
     entry.query_address = config_.listen_queries;
+  entry.cpu_share = config_.cpu_share;
   return entry;
 }
 
+HandoverOptions FrontDaemon::MakeHandoverOptions() const {
+  HandoverOptions handover;
+  handover.vm = config_.vm;
+  handover.zone = config_.zone;
+  handover.cpu_share = config_.cpu_share;
+  // Peers are asked for their load at the other address.
+  if (config_.listen_peers.port != 0)
+    handover.listen = config_.listen_queries;
+  handover.max_connections = config_.max_connections / kHandoverShare;
+  handover.max_reply_memory = config_.max_reply_memory / kHandoverShare;
+  handover.seed = SystemSeed();
+  return handover;
+}
+
 FrontDaemon::~FrontDaemon() {
   SetLogOutput(nullptr);
 }
@@ -185,6 +212,8 @@
     listening = metrics_server_.Listen(config_.listen_metrics);
   if (listening && config_.listen_peers.port != 0)
     listening = peer_server_.Listen(config_.listen_peers);
+  if (listening)
+    listening = handover_.Start();
   if (!listening)
     return listening;
   DecisionLine(log_, LogCategory::kDaemon, DecisionPriority::kStateChange,
@@ -233,7 +262,7 @@
   return quota_.Submit(
       std::move(request), std::move(done),
       [this](ForwardedRequestPtr admitted, RequestRun::AnswerHandler handler) {
-        return dispatcher_.Submit(std::move(admitted), std::move(handler));
+        return handover_.Submit(std::move(admitted), std::move(handler));
       });
 }
 
@@ -365,6 +394,7 @@
   // Other VMs grant this one's parts as soon as it is not registered any more.
   quota_.Stop();
   discovery_.Leave([] {});
+  handover_.BeginDrain();
   timers_.ScheduleAfter(kBalancerRemovalTime, [this] { ContinueDrain(); });
   timers_.ScheduleAfter(config_.drain_grace - kAnswerBeforeKill,
                         [this] { EndDrain(); });
@@ -373,17 +403,20 @@
 void FrontDaemon::ContinueDrain() {
   caller_server_.StopAccepting();
   caller_server_.CloseIdle(kDrainIdleTimeout);
-  if (caller_server_.connections() == 0) {
+  if (caller_server_.connections() == 0 && handover_.taken_over() == 0) {
     context_.stop();
     return;
   }
-  if (IsPastCutoff())
+  if (IsPastCutoff()) {
     caller_server_.RefuseIfNotRun();
+    handover_.RefuseIfNotRun();
+  }
   timers_.ScheduleAfter(kDrainCheckInterval, [this] { ContinueDrain(); });
 }
 
 void FrontDaemon::EndDrain() {
   caller_server_.EndNow();
+  handover_.EndNow();
   timers_.ScheduleAfter(kAnswerBeforeKill - kExitBeforeKill,
                         [this] { context_.stop(); });
 }
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -63,6 +63,14 @@
      .doc = "Share of the memory for requests that are read or in progress and "
             "for unsent answers, on all connections. Over it, the largest "
             "incomplete requests are refused and unread answers dropped."});
+const Setting<double> kCpuShare(
+    {.section = "vm",
+     .key = "cpu_share",
+     .default_value = 0.0,
+     .accepted = {.min = 0.0, .max = 1e4},
+     .doc = "Share of a processor core that this VM has. Other entry daemons "
+            "ask larger VMs first whether these answer queries sooner. 0 means "
+            "unknown."});
 
 const Setting<SocketAddress> kCallers(
     {.section = "listen",
@@ -244,7 +252,7 @@
   static const SettingsSchema kSchema = {
       {.type = "vm",
        .settings = {&kVmId, &kZone, &kRegion, &kZoneRegions, &kMaxDescriptors,
-                    &kMemory, &kCallerMemoryShare},
+                    &kMemory, &kCallerMemoryShare, &kCpuShare},
        .doc = "The VM."},
       {.type = "listen",
        .settings = {&kCallers, &kReadiness, &kMetrics, &kPeers, &kQueries},
@@ -310,6 +318,7 @@
   config.listen_metrics = settings.Get(kMetrics);
   config.listen_peers = settings.Get(kPeers);
   config.listen_queries = settings.Get(kQueries);
+  config.cpu_share = settings.Get(kCpuShare);
   config.store = settings.Get(kStore);
   config.store_call_timeout = settings.Get(kStoreCallTimeout);
   config.store_watch_wait = std::max(
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -22,6 +22,8 @@
   SocketAddress listen_peers;
   // Where other entry daemons hand over queries. Port 0 disables it.
   SocketAddress listen_queries;
+  // Share of a processor core, or 0 if unknown.
+  double cpu_share = 0.0;
   SocketAddress store;
   Duration store_call_timeout{};
   Duration store_watch_wait{};
@@ -61,6 +63,8 @@
   // NOLINTNEXTLINE(google-explicit-constructor): allows a literal path.
   SettingsSource(const char* file) : path(file) {}
 
+  SettingsSource(const char* file) : path(file) {}
+
   std::string path;
   std::vector<std::string> overrides;
 };
--- a/src/ingress/ingress_connection.cc
+++ b/src/ingress/ingress_connection.cc
@@ -16,6 +16,8 @@
 // Room for the parts that a parser takes as a whole: the header, the head of a
 // chunk with its extensions, and the trailers.
 constexpr std::size_t kUnparsedReserve = 4096;
+// Between the end of the handshake and the first request.
+constexpr Duration kMaxHandshakeTime = std::chrono::milliseconds(100);
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
 
@@ -49,7 +51,8 @@
       protocol_(protocol),
       memory_(memory),
       closed_(std::move(closed)),
-      last_progress_(timers.Now()) {}
+      accepted_(timers.Now()),
+      last_progress_(accepted_) {}
 
 IngressConnection::~IngressConnection() {
   if (memory_ != nullptr)
@@ -231,6 +234,9 @@
         HeaderField{std::string(it.name_string()), std::string(it.value())});
   }
   raw.body = std::move(message.body());
+  // A caller that had the connection in reserve did not wait for it.
+  raw.on_new_connection = std::exchange(first_request_, false) &&
+                          timers_.Now() - accepted_ < kMaxHandshakeTime;
   Result<ForwardedRequest> request =
       protocol_.DecodeRequest(std::move(raw), timers_.Now());
   if (!request) {
