--- a/src/front/front_daemon.cc
+++ b/src/front/front_daemon.cc
@@ -106,7 +106,6 @@
                    timers_,
                    config_.max_peer_connections,
                    &caller_memory_),
-      peer_client_(context_, timers_),
       quota_(QuotaEnvironment(),
              config_.quota,
              own_entry_,
--- a/src/front/front_settings.h
+++ b/src/front/front_settings.h
@@ -63,8 +63,6 @@
   // NOLINTNEXTLINE(google-explicit-constructor): allows a literal path.
   SettingsSource(const char* file) : path(file) {}
 
-  SettingsSource(const char* file) : path(file) {}
-
   std::string path;
   std::vector<std::string> overrides;
 };
