--- a/src/handover/handover_policy.cc
+++ b/src/handover/handover_policy.cc
@@ -122,12 +122,18 @@
   return it == peers_.end() ? nullptr : &it->second;
 }
 
+bool HandoverPolicy::IsUsable(const Peer& peer,
+                              const HandoverQuery& query,
+                              TimePoint now) {
+  return peer.report && !peer.report->draining && now >= peer.blocked_until &&
+         peer.report->version == query.version &&
+         now - peer.reported_at <= kReportLifetime;
+}
+
 std::optional<Duration> HandoverPolicy::Expected(const Peer& peer,
                                                  const HandoverQuery& query,
                                                  TimePoint now) {
-  if (!peer.report || peer.report->draining || now < peer.blocked_until ||
-      peer.report->version != query.version ||
-      now - peer.reported_at > kReportLifetime)
+  if (!IsUsable(peer, query, now))
     return std::nullopt;
   std::optional<Duration> run =
       TimeOf(peer.report->route_times, query.route, false);
@@ -208,6 +214,9 @@
   Duration best_score = Duration::max();
   for (Peer* it : Candidates(query, now)) {
     std::optional<Duration> there = Expected(*it, query, now);
+    // A larger VM without callers of its own has run nothing yet.
+    if (!there && IsUsable(*it, query, now) && IsLarger(*it))
+      there = *here;
     if (!there || !IsWorthwhile(*it, *there, *here, query.target))
       continue;
     Duration score = Scale(*there, jitter(random_));
--- a/src/handover/handover_policy.h
+++ b/src/handover/handover_policy.h
@@ -104,7 +104,11 @@
   Peer* Find(const VmId& vm);
   void Update(Peer& peer, const LoadReport& report, TimePoint now);
   static void ObserveHop(Peer& peer, Duration hop);
-  // The time until the answer would be here. Nothing if the peer can't be used.
+  static bool IsUsable(const Peer& peer,
+                       const HandoverQuery& query,
+                       TimePoint now);
+  // The time until the answer would be here. Nothing if the peer can't be used
+  // or has not run enough queries.
   static std::optional<Duration> Expected(const Peer& peer,
                                           const HandoverQuery& query,
                                           TimePoint now);
--- a/tests/unit/handover/handover_policy_test.cc
+++ b/tests/unit/handover/handover_policy_test.cc
@@ -43,6 +43,16 @@
   EXPECT_LT(busy, 2 * seconds(30) * 0.5);
 }
 
+// Guards against a large VM that nobody uses because it has no callers of its
+// own, and so no times.
+TEST(IdleLargeVmTest, TakesQueriesOver) {
+  SimulatedZone zone(UnequalShares());
+  zone.vm(kSmall).has_callers = zone.vm(kSmall + 1).has_callers = false;
+  zone.RunFor(seconds(12), 0);
+  SimulatedZone::Outcome outcome = zone.RunFor(seconds(20), kSmall);
+  EXPECT_GT(Share(outcome.handed_over, outcome.asked), 0.9);
+}
+
 // Guards against large VMs that take over more than they can do: three times
 // the load, and six times, which is beyond their processors.
 TEST_F(UnequalZoneTest, OverloadedLargeVmsLeaveQueriesToSmallOnes) {
--- a/tests/unit/handover/simulated_zone.h
+++ b/tests/unit/handover/simulated_zone.h
@@ -36,6 +36,7 @@
       return {version, state == State::kDraining, times.Higher(now)};
     }
     RunTimes times;
+    bool has_callers = true;
     TimePoint busy_until{};
     Duration busy{};
     int in_progress = 0;
@@ -69,7 +70,7 @@
     for (TimePoint end = timers_.Now() + time; timers_.Now() < end;
          timers_.AdvanceBy(kStep)) {
       for (std::size_t n = 0; n < vms_.size(); ++n) {
-        if (arrives(random_))
+        if (vm(n).has_callers && arrives(random_))
           Ask(n, n < vms ? outcome_ : std::make_shared<Outcome>());
       }
     }
