Count the way back of a handed-over query as time passed

The receiver answered with the parts that were there 9 ms before the target, and the answer reached the sender a hop later. Half of the measured hop now counts as passed.

--- a/src/handover/handed_over_query.cc
+++ b/src/handover/handed_over_query.cc
@@ -42,7 +42,8 @@
   });
   std::shared_ptr<HandedOverQuery> self = shared_from_this();
   context_.transport.Send(
-      attempt_, peer_, ToHandoverRequest(*request_, query_.version, started_),
+      attempt_, peer_,
+      ToHandoverRequest(*request_, query_.version, choice_.hop / 2, started_),
       {give_up, write_by, write_by, true},
       [self](AttemptReply reply) { self->OnReply(std::move(reply)); });
 }
--- a/src/handover/handover_policy.cc
+++ b/src/handover/handover_policy.cc
@@ -222,7 +222,8 @@
     Duration score = Scale(*there, jitter(random_));
     if (score < best_score) {
       best_score = score;
-      best = HandoverChoice{it->info.vm, *there, *here};
+      best = HandoverChoice{it->info.vm, *there, *here,
+                            Duration(static_cast<Duration::rep>(it->hop_us))};
     }
   }
   std::bernoulli_distribution runs_here(kOwnShare);
--- a/src/handover/handover_policy.h
+++ b/src/handover/handover_policy.h
@@ -33,6 +33,8 @@
   // Expected times until the answer is here: handed over, and run by this VM.
   Duration there{};
   Duration here{};
+  // Of which the way there and back.
+  Duration hop{};
 };
 
 // Decides which queries another VM of the zone runs.
--- a/src/handover/handover_protocol.cc
+++ b/src/handover/handover_protocol.cc
@@ -122,12 +122,14 @@
 
 ForwardedRequestPtr ToHandoverRequest(const ForwardedRequest& request,
                                       ConfigVersion version,
+                                      Duration way_back,
                                       TimePoint now) {
   auto out = std::make_shared<ForwardedRequest>(request);
   RemoveFieldsOfProtocol(out->headers);
   out->headers.push_back({kId, request.id});
   out->headers.push_back({kVersion, std::to_string(version.value())});
-  out->headers.push_back({kElapsedUs, ToText(now - request.received)});
+  out->headers.push_back(
+      {kElapsedUs, ToText(now - request.received + way_back)});
   if (request.deadline)
     out->headers.push_back({kDeadlineUs, ToText(*request.deadline)});
   if (request.on_new_connection)
--- a/src/handover/handover_protocol.h
+++ b/src/handover/handover_protocol.h
@@ -18,9 +18,11 @@
 std::string_view NameOf(TakeoverRefusal reason);
 
 // The request to send for a query. Drops the caller's fields with names of this
-// protocol.
+// protocol. The way back counts as time that has passed, so that the answer is
+// here when it would be ready without the hand-over.
 ForwardedRequestPtr ToHandoverRequest(const ForwardedRequest& request,
                                       ConfigVersion version,
+                                      Duration way_back,
                                       TimePoint now);
 // Removes the version of the sender's configuration from a query that was
 // received. Nothing if there is none.
