--- a/tests/unit/platform/kv_client_test.cc
+++ b/tests/unit/platform/kv_client_test.cc
@@ -241,34 +241,36 @@
         Json(200, std::string(std::size_t{9} << 20U, ' '))};
   });
   EXPECT_EQ(Range().status, KvStatus::kTooLarge);
-  // Guards against a store that came back from an older copy unnoticed, also
-  // when it refuses the call, and against an odd header that is taken for an
-  // era.
-  TEST_F(KvClientTest, ReadsEraOfEveryAnswer) {
-    std::string header;
-    int status = 200;
-    Serve([&](const std::string&) {
-      std::string reply = Json(status, R"({"items":[],"CurrentRev":9})");
-      reply.insert(reply.find("\r\n") + 2, header);
-      return ScriptedServer::Reaction{reply};
-    });
-    EXPECT_EQ(Range().era, StoreEra(0));
-    header = "Store-Era: 7\r\n";
-    for (int it : {200, 410, 503}) {
-      status = it;
-      EXPECT_EQ(Range().era, StoreEra(7)) << it;
-    }
-    bool done = false;
-    client_->RenewLease(StoreLease(1), [&](const KvLeaseResult& lease) {
-      EXPECT_EQ(lease.era, StoreEra(7));
-      done = true;
-    });
-    RunUntil(done);
-    for (std::string odd : {"-1", "x", "", "7 8", "99999999999999999999"}) {
-      header = "Store-Era: " + odd + "\r\n";
-      EXPECT_EQ(Range().era, StoreEra(0)) << odd;
-    }
+}
+
+// Guards against a store that came back from an older copy unnoticed, also
+// when it refuses the call, and against an odd header that is taken for an
+// era.
+TEST_F(KvClientTest, ReadsEraOfEveryAnswer) {
+  std::string header;
+  int status = 200;
+  Serve([&](const std::string&) {
+    std::string reply = Json(status, R"({"items":[],"CurrentRev":9})");
+    reply.insert(reply.find("\r\n") + 2, header);
+    return ScriptedServer::Reaction{reply};
+  });
+  EXPECT_EQ(Range().era, StoreEra(0));
+  header = "Store-Era: 7\r\n";
+  for (int it : {200, 410, 503}) {
+    status = it;
+    EXPECT_EQ(Range().era, StoreEra(7)) << it;
+  }
+  bool done = false;
+  client_->RenewLease(StoreLease(1), [&](const KvLeaseResult& lease) {
+    EXPECT_EQ(lease.era, StoreEra(7));
+    done = true;
+  });
+  RunUntil(done);
+  for (std::string odd : {"-1", "x", "", "7 8", "99999999999999999999"}) {
+    header = "Store-Era: " + odd + "\r\n";
+    EXPECT_EQ(Range().era, StoreEra(0)) << odd;
   }
+}
 
 }  // namespace
 }  // namespace jujubecove::platform
