Take back the pace of searchers

FindsPaceOfSearcherThatStarts failed: a paced searcher got no request at all beside two warm ones that are half busy, since the factor of its expected latency keeps it behind them and nothing tries it. It was off by default; nothing else used it.

--- a/src/dispatch/dispatch_options.h
+++ b/src/dispatch/dispatch_options.h
@@ -23,9 +23,6 @@
   // A scatter attempt is hedged once it takes longer than this quantile of the
   // route's recent latencies.
   double hedge_quantile = 0.9;
-  // Whether searchers that have started or recovered get work at a pace that is
-  // found from their replies.
-  bool searcher_pace = false;
   // How long attempts may stay in flight after their request was answered or
   // their caller disconnected.
   Duration answered_grace = std::chrono::milliseconds(500);
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -21,8 +21,6 @@
 constexpr int kMinRequestsPerSearcher = 2;
 // Time in which a daemon that has just started reads the configuration.
 constexpr Duration kStartupWait = std::chrono::milliseconds(300);
-// Time in which a daemon that has just started has listed all searchers.
-constexpr Duration kFirstListingTime = std::chrono::seconds(5);
 // Of a caller that gave no deadline.
 constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
 
@@ -114,20 +112,11 @@
   if (!searcher) {
     searcher = std::make_shared<PooledSearcher>(PooledSearcher{
         entry, SearcherHealth(entry.slots, timers_.Now() + entry.warmup_left)});
-    if (options_.searcher_pace)
-      searcher->health.EnablePacing(IsNew(entry));
   }
   pool->Add(std::move(searcher));
   SetConnectionLimit(entry);
 }
 
-// Searchers that this process finds at its start are taken for warm, unless
-// they say otherwise.
-bool Dispatcher::IsNew(const SearcherEntry& entry) const {
-  return entry.warmup_left > Duration(0) ||
-         timers_.Now() - process_start_ > kFirstListingTime;
-}
-
 void Dispatcher::RemoveSearcher(const SearcherEntry& entry) {
   std::shared_ptr<ServicePool> pool = GetOrCreatePool(entry.service);
   PooledSearcherPtr searcher = pool->Find(entry.id);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -76,7 +76,6 @@
   std::vector<SearcherEntry> SearchersOf(const ZoneName& zone) const;
   bool CanServe(const Route& route, bool reachable_only) const;
   void AddSearcher(const SearcherEntry& entry);
-  bool IsNew(const SearcherEntry& entry) const;
   void RemoveSearcher(const SearcherEntry& entry);
   // The earlier state of a searcher that still pushes back, or null.
   PooledSearcherPtr TakeFormer(const SearcherEntry& entry);
--- a/src/dispatch/searcher_health.cc
+++ b/src/dispatch/searcher_health.cc
@@ -57,8 +57,6 @@
     reported_at_ = now;
   }
   bool success = reply.outcome == AttemptResult::kSuccess;
-  pace_.OnReply(success, ToMilliseconds(latency - reply.queue_time) /
-                             std::max(0.1, ToMilliseconds(typical)));
   failure_rate_ += kFailureWeight * ((success ? 0.0 : 1.0) - failure_rate_);
   if (success) {
     double ratio =
@@ -103,8 +101,6 @@
   // Failures of concurrent attempts have one cause and count once.
   if (now < suspect_until_)
     return;
-  if (paces_)
-    pace_.Begin();
   int doublings = std::min(consecutive_failures_, kMaxDoublings);
   ++consecutive_failures_;
   suspect_until_ =
@@ -145,9 +141,7 @@
     if (age > overdue)
       expected += static_cast<double>(age.count());
   }
-  if (paces_)
-    expected *= pace_.latency_factor();
-  else if (now < warmup_end_)
+  if (now < warmup_end_)
     expected *= kWarmupLatencyFactor;
   expected *= 1.0 + kFailurePenalty * failure_rate_;
   return Duration(static_cast<Duration::rep>(expected));
--- a/src/dispatch/searcher_health.h
+++ b/src/dispatch/searcher_health.h
@@ -6,7 +6,6 @@
 
 #include "base/ids.h"
 #include "base/units.h"
-#include "dispatch/searcher_pace.h"
 #include "dispatch/searcher_transport.h"
 
 namespace jujubecove {
@@ -38,16 +37,6 @@
   // only if there is no other one.
   bool IsSuspect(TimePoint now) const { return now < suspect_until_; }
 
-  // From now on, the searcher is paced after failures of its connections, and
-  // at once if it `is_new`. The end of its warm-up is then ignored.
-  void EnablePacing(bool is_new) {
-    paces_ = true;
-    if (is_new)
-      pace_.Begin();
-  }
-  // Whether the pace allows no further request in progress.
-  bool IsAtPace() const { return !pace_.Allows(in_flight()); }
-
   // Until when the searcher wants no requests from this daemon.
   TimePoint pushed_back_until() const { return pushed_back_until_; }
   // From when on new attempts may be sent.
@@ -75,8 +64,6 @@
 
   int slots_;
   TimePoint warmup_end_;
-  bool paces_ = false;
-  SearcherPace pace_;
   std::map<AttemptId, TimePoint> in_flight_;
   // When the latest attempt that got a reply was sent.
   TimePoint last_replied_sent_at_{};
--- a/src/dispatch/service_pool.cc
+++ b/src/dispatch/service_pool.cc
@@ -15,8 +15,6 @@
 // share of requests that the zone may get. Smaller, so that a request rather
 // goes there than fails.
 constexpr Duration kReturningZonePenalty = std::chrono::seconds(20);
-// The same for a searcher whose pace allows no further request.
-constexpr Duration kPacePenalty = std::chrono::seconds(10);
 // Largest random part of a score. Without it, daemons with the same view would
 // all choose the same searcher.
 constexpr double kScoreJitter = 0.15;
@@ -77,8 +75,6 @@
     score = Scale(score, jitter(random));
     if (it->health.IsSuspect(now) || !zones_.IsReachable(it->entry.zone))
       score += kSuspectPenalty;
-    if (it->health.IsAtPace())
-      score += kPacePenalty;
     double share = policy_.ShareOf(it->entry.zone, now);
     if (share < 1.0 && !std::bernoulli_distribution(share)(random))
       score += kReturningZonePenalty;
--- a/src/front/front_settings.cc
+++ b/src/front/front_settings.cc
@@ -191,13 +191,6 @@
      .accepted = {.max = seconds(1)},
      .doc = "Round trip time between a caller and this VM. A partial answer is "
             "sent this long before the route's target."});
-const Setting<bool> kSearcherPace(
-    {.section = "dispatch",
-     .key = "searcher_pace",
-     .default_value = false,
-     .doc = "Whether searchers that have started or recovered get work at a "
-            "pace that is found from their replies, in place of the time that "
-            "they say they stay cold."});
 const Setting<double> kHedgeQuantile(
     {.section = "dispatch",
      .key = "hedge_quantile",
@@ -269,7 +262,7 @@
        .doc = "Rate limits of workspaces."},
       {.type = "drain", .settings = {&kDrainGrace}, .doc = "Shutdown."},
       {.type = "dispatch",
-       .settings = {&kCallerRoundTrip, &kHedgeQuantile, &kSearcherPace},
+       .settings = {&kCallerRoundTrip, &kHedgeQuantile},
        .doc = "Decisions about requests."},
       {.type = "log",
        .settings = {&kLogLinesPerSecond, &kLogLevel},
@@ -358,7 +351,6 @@
   config.quota.slack = settings.Get(kQuotaSlack);
   config.dispatch.caller_round_trip = settings.Get(kCallerRoundTrip);
   config.dispatch.hedge_quantile = settings.Get(kHedgeQuantile);
-  config.dispatch.searcher_pace = settings.Get(kSearcherPace);
   return config;
 }
 
