Send the head alone of a reply that is too large, and keep an owner's view for 15 s

KvClientTest.TellsAnswerThatIsTooLarge never ended: its stand-in wrote 9 MB on the thread of the client. The lifetime of 12 s failed QuotaDecisionTest.ServesWhileTheStoreIsAway and is taken back.

--- a/src/quota/ownership_guard.h
+++ b/src/quota/ownership_guard.h
@@ -22,7 +22,7 @@
  public:
   // An owner that has not read the store for this long grants only what the
   // slack covers.
-  static constexpr Duration kViewLifetime = std::chrono::seconds(12);
+  static constexpr Duration kViewLifetime = std::chrono::seconds(15);
   // Longer than the above, since it counts from the registration and the other
   // from the start of the last successful read.
   static constexpr Duration kHoldOff = std::chrono::seconds(17);
--- a/tests/unit/platform/kv_client_test.cc
+++ b/tests/unit/platform/kv_client_test.cc
@@ -238,7 +238,7 @@
 TEST_F(KvClientTest, TellsAnswerThatIsTooLarge) {
   Serve([](const std::string&) {
     return ScriptedServer::Reaction{
-        Json(200, std::string(std::size_t{9} << 20U, ' '))};
+        "HTTP/1.1 200 X\r\nContent-Length: 9437184\r\n\r\n{"};
   });
   EXPECT_EQ(Range().status, KvStatus::kTooLarge);
 }
