--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/check.cpp; do
   if [ -f "$source" ]; then
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers \
