--- a/review/stand-in-2/world.hpp
+++ b/review/stand-in-2/world.hpp
@@ -279,12 +279,35 @@
     ++revision_;
     AddEvent(json::object{{"Key", key}, {"Revision", revision_}, {"Removed", true}});
   }
-  // Number of registered processes of the system.
-  std::size_t CountPrefix(const std::string& prefix) const {
-    std::size_t n = 0;
-    for (const auto& [key, item] : items_)
-      n += key.starts_with(prefix) ? 1 : 0;
-    return n;
+  bool Has(const std::string& key) const { return items_.contains(key); }
+  // Remembers the present state.
+  void TakeCopy() {
+    copied_items_ = items_;
+    copied_events_ = events_;
+    copied_leases_ = leases_;
+    copied_revision_ = revision_;
+    copied_lease_ = last_lease_;
+  }
+  // Closes all connections, and each new one until Return is called.
+  void GoAway() {
+    away_ = true;
+    for (const std::weak_ptr<tcp::socket>& it : sessions_) {
+      error_code ignored;
+      if (std::shared_ptr<tcp::socket> socket = it.lock())
+        socket->close(ignored);
+    }
+    sessions_.clear();
+  }
+  // Comes back from the copy. What the operator and the searchers wrote since
+  // then has to be written again.
+  void ReturnFromCopy() {
+    items_ = copied_items_;
+    events_ = copied_events_;
+    leases_ = copied_leases_;
+    revision_ = copied_revision_;
+    last_lease_ = copied_lease_;
+    ++era_;
+    away_ = false;
   }
 
  private:
@@ -297,11 +320,16 @@
       error_code ec;
       tcp::socket socket = co_await acceptor_.async_accept(
           asio::redirect_error(use_awaitable, ec));
-      if (!ec)
-        Spawn(Session(std::move(socket)));
+      if (ec || away_)
+        continue;
+      auto shared = std::make_shared<tcp::socket>(std::move(socket));
+      std::erase_if(sessions_, [](const auto& it) { return it.expired(); });
+      sessions_.push_back(shared);
+      Spawn(Session(std::move(shared)));
     }
   }
-  awaitable<void> Session(tcp::socket socket) {
+  awaitable<void> Session(std::shared_ptr<tcp::socket> shared) {
+    tcp::socket& socket = *shared;
     std::string buffer;
     error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
@@ -317,6 +345,8 @@
       else
         out = Handle(request.Word(0), path, target, request.body);
       co_await Sleep(4);
+      if (!socket.is_open())
+        co_return;
       co_await WriteAll(socket, out, ec);
       if (ec)
         co_return;
@@ -326,9 +356,10 @@
     std::string prefix = Argument(target, "Prefix");
     std::int64_t after = std::atoll(Argument(target, "after").c_str());
     double end = Now() + std::atof(Argument(target, "WaitMs").c_str());
-    if (after > revision_)
-      co_return Reply(410, Era(), "{}");
+    std::int64_t era = era_;
     while (true) {
+      if (after > revision_ || era != era_)
+        co_return Reply(410, Era(), "{}");
       json::array events;
       for (const auto& [revision, event] : events_) {
         if (revision > after &&
@@ -350,8 +381,9 @@
             {"Revision", item.revision}, {"Created", item.created},
             {"Lease", item.lease}};
   }
-  static std::string Era() {
-    return "Content-Type: application/json\r\nStore-Era: 1\r\n";
+  std::string Era() const {
+    return "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) +
+           "\r\n";
   }
   std::string Handle(const std::string& method, const std::string& path,
                      const std::string& target, const std::string& body) {
@@ -421,6 +453,14 @@
   std::set<std::int64_t> leases_;
   std::int64_t revision_ = 100;
   std::int64_t last_lease_ = 7000;
+  std::int64_t era_ = 1;
+  bool away_ = false;
+  std::vector<std::weak_ptr<tcp::socket>> sessions_;
+  std::map<std::string, Item> copied_items_;
+  std::deque<std::pair<std::int64_t, json::object>> copied_events_;
+  std::set<std::int64_t> copied_leases_;
+  std::int64_t copied_revision_ = 0;
+  std::int64_t copied_lease_ = 0;
 };
 
 // --- Searchers ---
@@ -459,12 +499,7 @@
     Register();
     Spawn(Serve());
   }
-  Plan& plan() { return plan_; }
-  const std::string& service() const { return service_; }
-  const std::string& id() const { return id_; }
-  int busy() const { return running_; }
-
- private:
+  // Writes the registration, as at each check-in.
   void Register() {
     tcp::endpoint endpoint = acceptor_.local_endpoint();
     store_.Put("servers/" + id_,
@@ -476,6 +511,12 @@
                    {"State", "ready"}, {"WarmupLeftMs", 0}, {"Sequence", ++sequence_},
                    {"born", born_}}));
   }
+  Plan& plan() { return plan_; }
+  const std::string& service() const { return service_; }
+  const std::string& id() const { return id_; }
+  int busy() const { return running_; }
+
+ private:
   awaitable<void> Serve() {
     while (true) {
       error_code ec;
